--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,127 @@
+// Package caller speaks HTTP to callers: it takes requests in, claims unrepeatable ones, answers, and keeps answers for collection.
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/aspenseam/aspenseam/endpoint"
+	"github.com/aspenseam/aspenseam/platform"
+)
+
+// Headers between callers and entry instances; docs/CALLERS.md describes them.
+const (
+	HeaderService   = "Aspenseam-Service"
+	HeaderCaller    = "Aspenseam-Caller"
+	HeaderRequestID = endpoint.HeaderRequestID
+	HeaderRepeat    = "Aspenseam-Repeat"
+	HeaderTry       = "Aspenseam-Try"
+	HeaderSession   = endpoint.HeaderSession
+	HeaderDeadline  = endpoint.HeaderDeadline
+	HeaderOutcome   = "Aspenseam-Outcome"
+	HeaderEntry     = "Aspenseam-Entry"
+	headerPrefix    = "Aspenseam-"
+)
+
+// Values of HeaderRepeat and HeaderSession.
+const (
+	RepeatYes  = "repeatable"
+	RepeatNo   = "unrepeatable"
+	SessionNew = "new"
+)
+
+// CollectPath is the path under which kept answers are collected.
+const CollectPath = "/.aspenseam/answers/"
+
+// Names of callers and their requests.
+type (
+	// ID names a caller.
+	ID string
+	// RequestID names a request among those of its caller.
+	RequestID string
+	// Key is the place of a request's claim row: a hash of caller and request id.
+	Key string
+	// Digest is a hash of what a request asks for.
+	Digest string
+	// Nonce tells one claim of a request from another.
+	Nonce string
+)
+
+// Anonymous is the caller of requests that name none.
+const Anonymous ID = "anonymous"
+
+// Mark says how often a request may run.
+type Mark int
+
+// The marks.
+const (
+	// MarkRepeatable may run any number of times.
+	MarkRepeatable Mark = iota
+	// MarkSingle is sent once for each time that the caller sends it.
+	MarkSingle
+	// MarkUnrepeatable runs at most once, however often the caller sends it.
+	MarkUnrepeatable
+)
+
+// Request is one request as it came in.
+type Request struct {
+	Caller  ID
+	ID      RequestID
+	Mark    Mark
+	Service platform.ServiceID
+	// Try is the number of this try as the caller counts, 1 being the first; 0 if it does not say.
+	Try      int
+	Session  *Session
+	Deadline time.Time
+	Method   string
+	Target   string
+	Host     string
+	Header   http.Header
+	Body     []byte
+	// Named says that the caller gave the request id.
+	Named bool
+}
+
+// Key returns the place of the request's claim row.
+func (rq *Request) Key() Key {
+	return KeyOf(rq.Caller, rq.ID)
+}
+
+// KeyOf returns the place of a claim row.
+func KeyOf(caller ID, id RequestID) Key {
+	sum := sha256.Sum256([]byte(string(caller) + "\x00" + string(id)))
+	return Key(hex.EncodeToString(sum[:16]))
+}
+
+// Digest returns a hash of what the request asks for.
+func (rq *Request) Digest() Digest {
+	hs := sha256.New()
+	for _, part := range []string{string(rq.Service), rq.Method, rq.Target} {
+		// A hash never fails to take bytes.
+		_, _ = hs.Write([]byte(part + "\x00"))
+	}
+	_, _ = hs.Write(rq.Body)
+	return Digest(hex.EncodeToString(hs.Sum(nil)[:16]))
+}
+
+// Router sends requests to endpoints.
+type Router interface {
+	Do(ctx context.Context, call *endpoint.Call) endpoint.Result
+}
+
+// Snapshots returns the newest snapshot.
+type Snapshots interface {
+	Snapshot() *platform.Snapshot
+	Reached() bool
+}
+
+// Peers asks other entry instances.
+type Peers interface {
+	// Flight asks the owner of a claim what became of it.
+	Flight(ctx context.Context, owner platform.InstanceID, key Key, nonce Nonce) (Word, error)
+	// Collect asks all for a kept answer.
+	Collect(ctx context.Context, key Key) (Word, error)
+}
--- /dev/null
+++ b/entry.go
@@ -0,0 +1,266 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/aspenseam/aspenseam/caller"
+	"github.com/aspenseam/aspenseam/endpoint"
+	"github.com/aspenseam/aspenseam/event"
+	"github.com/aspenseam/aspenseam/operator"
+	"github.com/aspenseam/aspenseam/peer"
+	"github.com/aspenseam/aspenseam/platform"
+	"github.com/aspenseam/aspenseam/settings"
+	"github.com/integrii/flaggy"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+)
+
+const (
+	// keptShare is the part of the buffers that kept answers may take, as a divisor.
+	keptShare = 4
+	// stopMargin is added to the longest request time before a stop is forced.
+	stopMargin = 5 * time.Second
+	// moveTimeout bounds the agreement on successors of a lost endpoint.
+	moveTimeout = 5 * time.Second
+)
+
+// entry is one entry instance with all its parts.
+type entry struct {
+	st          *settings.Settings
+	log         *event.Logger
+	incarnation platform.Incarnation
+	platform    *platform.Client
+	watcher     *platform.Watcher
+	router      *endpoint.Router
+	callers     *caller.Server
+	peers       *peer.Client
+	peerServer  *peer.Server
+	operators   *operator.Server
+	registry    metrics.Registry
+	background  context.Context
+	servers     []*http.Server
+}
+
+// entryCommand runs an entry instance.
+func entryCommand() command {
+	sub := flaggy.NewSubcommand("entry")
+	sub.Description = "Run an entry instance."
+	var path string
+	sub.String(&path, "s", "settings", "settings file")
+	return command{sub, func(ctx context.Context) error {
+		st, err := settings.Load(path)
+		if err != nil {
+			return err
+		}
+		lg, err := event.NewProduction(st.Entry.ID)
+		if err != nil {
+			return err
+		}
+		defer lg.Sync()
+		err = runEntry(ctx, st, lg)
+		if err != nil {
+			lg.Emit(event.ProcessFailed, zap.Error(err))
+		}
+		return err
+	}}
+}
+
+// runEntry serves until the context ends, then stops without cutting a request.
+func runEntry(ctx context.Context, st *settings.Settings, lg *event.Logger) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	en := newEntry(background, st, lg)
+	go en.watcher.Run(background)
+	go en.seed(background)
+	go en.peers.Run(background)
+	failed := make(chan error, 3)
+	if err := en.listen(failed); err != nil {
+		return err
+	}
+	lg.Emit(event.ProcessStarted, zap.String("incarnation", string(en.incarnation)), zap.String("callerAddress", st.Entry.CallerAddress))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	en.stop()
+	return nil
+}
+
+// newEntry builds the parts of an entry instance from its settings.
+func newEntry(background context.Context, st *settings.Settings, lg *event.Logger) *entry {
+	en := &entry{st: st, log: lg, incarnation: platform.Incarnation(platform.NewID()), registry: metrics.NewRegistry(), background: background}
+	buffers := endpoint.NewBuffers(st.Caller.BufferBytes)
+	en.platform = platform.NewClient(platform.WithAddresses(st.Platform.Addresses...), platform.WithTimeout(st.Platform.Timeout), platform.WithDial(dialer(st, st.Platform.Timeout)))
+	en.watcher = platform.NewWatcher(en.platform, platform.WithPollInterval(st.Platform.PollInterval), platform.WithLog(lg), platform.WithOnChange(en.changed))
+	en.router = endpoint.NewRouter(routerOptions(st, lg, buffers)...)
+	peerOptions := en.peerOptions()
+	en.peers = peer.NewClient(en.watcher, peerOptions...)
+	en.callers = caller.NewServer(en.router, en.watcher, en.platform, en.peers, en.callerOptions(buffers)...)
+	en.peerServer = peer.NewServer(en.watcher, en.callers, en.router, peerOptions...)
+	en.operators = operator.NewServer(en.watcher, en.router,
+		operator.WithEntry(platform.InstanceID(st.Entry.ID), en.incarnation, platform.HallID(st.Entry.Hall)),
+		operator.WithOperators(st.Operators), operator.WithRegistry(en.registry), operator.WithLog(lg))
+	mover := platform.NewMover(en.platform, en.watcher, st.Entry.ID)
+	mover.OnMoved = func(mv platform.Move) {
+		lg.Emit(event.SessionsMoved, zap.String("endpoint", string(mv.Instance)), zap.Any("successors", mv.Successors))
+	}
+	en.router.OnGone = func(in platform.Instance) { go en.move(mover, in) }
+	en.register(buffers)
+	return en
+}
+
+func (en *entry) move(mover *platform.Mover, in platform.Instance) {
+	ctx, cancel := context.WithTimeout(en.background, moveTimeout)
+	defer cancel()
+	mover.Move(ctx, in)
+}
+
+// dialer returns a function that opens connections from the instance's own IP, if the settings name one.
+func dialer(st *settings.Settings, timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dl := &net.Dialer{Timeout: timeout}
+	if st.Entry.SourceIP != "" {
+		dl.LocalAddr = &net.TCPAddr{IP: net.ParseIP(st.Entry.SourceIP)}
+	}
+	return dl.DialContext
+}
+
+func routerOptions(st *settings.Settings, lg *event.Logger, buffers *endpoint.Buffers) []endpoint.Option {
+	ep := st.Endpoint
+	return []endpoint.Option{
+		endpoint.WithHall(st.Entry.Hall),
+		endpoint.WithDial(dialer(st, ep.DialTimeout)),
+		endpoint.WithDialTimeout(ep.DialTimeout),
+		endpoint.WithLongestRequest(st.Caller.LongestRequest),
+		endpoint.WithAnswerBytes(st.Caller.AnswerBytes),
+		endpoint.WithBuffers(buffers),
+		endpoint.WithQueueLength(st.Caller.QueueLength),
+		endpoint.WithEntriesMax(ep.EntriesMax),
+		endpoint.WithRetry(endpoint.RetryPolicy{Share: ep.RetryShare, Burst: ep.RetryBurst, Most: 3}),
+		endpoint.WithEject(endpoint.EjectPolicy{After: ep.EjectAfter, For: ep.EjectFor, ForMax: ep.EjectForMax, ShareMax: ep.EjectShareMax}),
+		endpoint.WithGoneAfter(ep.GoneAfter),
+		endpoint.WithLog(lg),
+	}
+}
+
+func (en *entry) peerOptions() []peer.Option {
+	return []peer.Option{
+		peer.WithEntry(platform.InstanceID(en.st.Entry.ID), en.incarnation),
+		peer.WithKeys(en.st.Peer.Keys...),
+		peer.WithSeeds(en.st.Peer.Seeds...),
+		peer.WithTimeout(en.st.Peer.Timeout),
+		peer.WithSyncInterval(en.st.Peer.SyncInterval),
+		peer.WithDial(dialer(en.st, en.st.Peer.Timeout)),
+		peer.WithLog(en.log),
+	}
+}
+
+func (en *entry) callerOptions(buffers *endpoint.Buffers) []caller.Option {
+	cs := en.st.Caller
+	return []caller.Option{
+		caller.WithEntry(platform.InstanceID(en.st.Entry.ID), en.incarnation),
+		caller.WithTimes(cs.DefaultTimeout, cs.LongestRequest),
+		caller.WithBytes(cs.BodyBytes, buffers),
+		caller.WithClaims(cs.ClaimWait, cs.ClaimGroup, en.st.Platform.Timeout),
+		caller.WithAnswers(cs.AnswersKept, cs.BufferBytes/keptShare, cs.AnswerRetention),
+		caller.WithKeys(en.st.Peer.Keys...),
+		caller.WithLog(en.log),
+	}
+}
+
+// register adds the figures that operators read under /v1/metrics.
+func (en *entry) register(buffers *endpoint.Buffers) {
+	gauges := map[string]func() int64{
+		"requests.answered": en.callers.Answered.Load,
+		"requests.notRun":   en.callers.NotRun.Load,
+		"requests.unknown":  en.callers.Unknown.Load,
+		"endpoint.calls":    en.router.Calls.Load,
+		"endpoint.attempts": en.router.Attempts.Load,
+		"platform.reads":    en.platform.Reads,
+		"platform.writes":   en.platform.Writes,
+		"buffers.leftBytes": buffers.Left,
+	}
+	for name, read := range gauges {
+		// The names differ, so none is refused.
+		_ = en.registry.Register(name, metrics.NewFunctionalGauge(read))
+	}
+}
+
+// changed gives a new snapshot to the router, and fresh rows to the peers.
+func (en *entry) changed(cg platform.Change) {
+	en.router.Update(cg.Snapshot)
+	if cg.Read {
+		en.peers.Push(en.background, cg.Rows)
+	}
+}
+
+// seed asks running peers for their snapshot until the platform or one of them has given one.
+func (en *entry) seed(ctx context.Context) {
+	ticker := time.NewTicker(en.st.Peer.SyncInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-en.watcher.Loaded():
+			return
+		case <-ctx.Done():
+			return
+		default:
+		}
+		if en.peers.Start(ctx) {
+			en.log.Emit(event.SnapshotFromPeer)
+			return
+		}
+		<-ticker.C
+	}
+}
+
+// listen opens the three listeners and serves them; failed is told when one ends.
+func (en *entry) listen(failed chan<- error) error {
+	cs := en.st.Caller
+	callers := &http.Server{Handler: en.callers, ReadHeaderTimeout: cs.HeaderTimeout, ReadTimeout: cs.HeaderTimeout, MaxHeaderBytes: cs.HeaderBytes, IdleTimeout: time.Minute}
+	peers := &http.Server{Handler: en.peerServer.Handler(en.peerOptions()...), ReadHeaderTimeout: cs.HeaderTimeout, ReadTimeout: cs.HeaderTimeout}
+	operators := &http.Server{Handler: en.operators.Handler(), ReadHeaderTimeout: cs.HeaderTimeout, ReadTimeout: cs.HeaderTimeout}
+	en.servers = []*http.Server{callers, peers, operators}
+	addresses := []string{en.st.Entry.CallerAddress, en.st.Entry.PeerAddress, en.st.Entry.OperatorAddress}
+	for ix, srv := range en.servers {
+		ln, err := net.Listen("tcp", addresses[ix])
+		if err != nil {
+			return eris.Wrap(err, "listen")
+		}
+		if srv == callers {
+			ln = netutil.LimitListener(ln, cs.Connections)
+		}
+		go func() {
+			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				failed <- eris.Wrap(err, "serve")
+			}
+		}()
+	}
+	return nil
+}
+
+// stop refuses new requests, lets open ones end, and then closes the listeners.
+func (en *entry) stop() {
+	en.log.Emit(event.ProcessStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), en.st.Caller.LongestRequest+stopMargin)
+	defer cancel()
+	if err := en.callers.Stop(ctx); err != nil {
+		en.log.Emit(event.StopForced, zap.Error(err))
+	}
+	var wg sync.WaitGroup
+	for _, srv := range en.servers {
+		wg.Go(func() {
+			// What is still open at the end of the time is cut; that was logged above.
+			_ = srv.Shutdown(ctx)
+		})
+	}
+	wg.Wait()
+	en.log.Emit(event.ProcessStopped)
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,174 @@
+// Package operator speaks HTTP to operators: status, metrics, plans, settings and the audit trail.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/aspenseam/aspenseam/event"
+	"github.com/aspenseam/aspenseam/platform"
+	"github.com/aspenseam/aspenseam/settings"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+)
+
+// bearer begins the header that carries an operator's token.
+const bearer = "Bearer "
+
+// Name is an operator's name, as it stands in the audit trail.
+type Name string
+
+// Snapshots returns the newest snapshot.
+type Snapshots interface {
+	Snapshot() *platform.Snapshot
+	Reached() bool
+}
+
+// Status is what an entry instance says of itself.
+type Status struct {
+	Entry       platform.InstanceID  `json:"entry"`
+	Incarnation platform.Incarnation `json:"incarnation"`
+	Hall        platform.HallID      `json:"hall"`
+	// Version is the table version up to which this entry instance knows everything.
+	Version platform.Version `json:"version"`
+	// Platform tells whether the platform answered the last read.
+	Platform  bool              `json:"platform"`
+	Instances []InstanceStatus  `json:"instances"`
+	Rejected  []platform.RowKey `json:"rejected,omitempty"`
+}
+
+// InstanceStatus is what an entry instance sees of one worker.
+type InstanceStatus struct {
+	ID    platform.InstanceID    `json:"id"`
+	Hall  platform.HallID        `json:"hall"`
+	Rack  platform.RackID        `json:"rack"`
+	Pool  platform.PoolID        `json:"pool"`
+	State platform.InstanceState `json:"state"`
+	// Listed tells whether the membership names it.
+	Listed bool `json:"listed"`
+	Open   int  `json:"open"`
+	Queued int  `json:"queued"`
+}
+
+// Endpoints tells what goes to an instance.
+type Endpoints interface {
+	InFlight(id platform.InstanceID) (open, queued int)
+}
+
+// Options holds what a server can be built with.
+type Options struct {
+	Entry       platform.InstanceID
+	Incarnation platform.Incarnation
+	Hall        platform.HallID
+	Operators   []settings.Operator
+	Registry    metrics.Registry
+	Log         *event.Logger
+}
+
+// Option changes one of the options.
+type Option func(*Options)
+
+// WithEntry names the entry instance, this run of it and its hall.
+func WithEntry(id platform.InstanceID, inc platform.Incarnation, hall platform.HallID) Option {
+	return func(op *Options) { op.Entry, op.Incarnation, op.Hall = id, inc, hall }
+}
+
+// WithOperators sets who may call.
+func WithOperators(operators []settings.Operator) Option {
+	return func(op *Options) { op.Operators = operators }
+}
+
+// WithRegistry sets the metrics that are served.
+func WithRegistry(registry metrics.Registry) Option {
+	return func(op *Options) { op.Registry = registry }
+}
+
+// WithLog sets the logger.
+func WithLog(lg *event.Logger) Option {
+	return func(op *Options) { op.Log = lg }
+}
+
+// Server answers operators.
+type Server struct {
+	opts      Options
+	snapshots Snapshots
+	endpoints Endpoints
+}
+
+// NewServer returns a server.
+func NewServer(snapshots Snapshots, endpoints Endpoints, options ...Option) *Server {
+	opts := Options{Registry: metrics.NewRegistry(), Log: event.Nop()}
+	for _, option := range options {
+		option(&opts)
+	}
+	return &Server{opts: opts, snapshots: snapshots, endpoints: endpoints}
+}
+
+// operatorKey is the context key of the operator's name.
+type operatorKey struct{}
+
+// Handler returns the operators' calls; each needs a known token.
+func (sv *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", sv.status)
+	mux.HandleFunc("GET /v1/metrics", sv.metrics)
+	return sv.authorize(mux)
+}
+
+// authorize lets calls with a known token through and notes whose it is.
+func (sv *Server) authorize(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		name, ok := sv.nameOf(rq.Header.Get("Authorization"))
+		if !ok {
+			sv.opts.Log.Emit(event.OperatorRejected, zap.String("from", rq.RemoteAddr))
+			writeJSON(wr, http.StatusUnauthorized, Problem{Message: "unknown operator token"})
+			return
+		}
+		next.ServeHTTP(wr, rq.WithContext(context.WithValue(rq.Context(), operatorKey{}, name)))
+	})
+}
+
+// nameOf compares with every token in a time that does not depend on them.
+func (sv *Server) nameOf(header string) (Name, bool) {
+	token, found := strings.CutPrefix(header, bearer)
+	var name Name
+	matched := false
+	for _, op := range sv.opts.Operators {
+		if subtle.ConstantTimeCompare([]byte(op.Token), []byte(token)) == 1 {
+			name, matched = Name(op.Name), true
+		}
+	}
+	return name, found && matched
+}
+
+// Problem is the one clear error of a call that was not carried out.
+type Problem struct {
+	Message string `json:"message"`
+	// Findings lists every fault of what was sent.
+	Findings []string `json:"findings,omitempty"`
+}
+
+func (sv *Server) status(wr http.ResponseWriter, _ *http.Request) {
+	sn := sv.snapshots.Snapshot()
+	st := Status{Entry: sv.opts.Entry, Incarnation: sv.opts.Incarnation, Hall: sv.opts.Hall, Version: sn.Version, Platform: sv.snapshots.Reached(), Rejected: sn.Rejected, Instances: []InstanceStatus{}}
+	for _, in := range sn.SortedInstances() {
+		open, queued := sv.endpoints.InFlight(in.ID)
+		st.Instances = append(st.Instances, InstanceStatus{ID: in.ID, Hall: in.Hall, Rack: in.Rack, Pool: in.Pool, State: in.State, Listed: !sn.Gone(in.ID), Open: open, Queued: queued})
+	}
+	writeJSON(wr, http.StatusOK, st)
+}
+
+func (sv *Server) metrics(wr http.ResponseWriter, _ *http.Request) {
+	wr.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(sv.opts.Registry, wr)
+}
+
+func writeJSON(wr http.ResponseWriter, status int, value any) {
+	wr.Header().Set("Content-Type", "application/json")
+	wr.WriteHeader(status)
+	// The operator may be gone; there is nobody else to tell.
+	_ = json.NewEncoder(wr).Encode(value)
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,188 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/aspenseam/aspenseam/caller"
+	"github.com/aspenseam/aspenseam/endpoint"
+	"github.com/aspenseam/aspenseam/platform"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// pushRows is the most rows that are pushed; more are left to Sync.
+	pushRows  = 64
+	idlePeers = 2
+)
+
+// errForgotten says that the peer knows nothing of the request.
+var errForgotten = errors.New("peer knows nothing of the request")
+
+// Client calls the other entry instances.
+type Client struct {
+	opts      Options
+	snapshots Snapshots
+	http      *http.Client
+	mu        sync.Mutex
+	clients   map[string]Peer
+}
+
+// NewClient returns a client that finds its peers in the snapshot's membership.
+func NewClient(snapshots Snapshots, options ...Option) *Client {
+	opts := build(options)
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{Timeout: opts.Timeout}).DialContext
+	}
+	transport := &http.Transport{DialContext: opts.Dial, MaxIdleConnsPerHost: idlePeers, IdleConnTimeout: time.Minute}
+	key := ""
+	if len(opts.Keys) > 0 {
+		key = opts.Keys[0]
+	}
+	return &Client{opts: opts, snapshots: snapshots, http: &http.Client{Transport: keyed{key, transport}}, clients: map[string]Peer{}}
+}
+
+// peers returns the addresses of the other entry instances by id.
+func (cl *Client) peers() []platform.Member {
+	var others []platform.Member
+	for _, mb := range cl.snapshots.Snapshot().Entries() {
+		if mb.ID != cl.opts.Entry && mb.Address != "" {
+			others = append(others, mb)
+		}
+	}
+	return others
+}
+
+func (cl *Client) at(address string) Peer {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if cl.clients[address] == nil {
+		cl.clients[address] = NewPeerProtobufClient("http://"+address, cl.http)
+	}
+	return cl.clients[address]
+}
+
+// Flight asks the owner of a claim what became of it; an error says that the owner cannot tell.
+func (cl *Client) Flight(ctx context.Context, owner platform.InstanceID, key caller.Key, nonce caller.Nonce) (caller.Word, error) {
+	mb, ok := cl.snapshots.Snapshot().Members[owner]
+	if !ok || mb.Address == "" {
+		return caller.Word{}, eris.Errorf("entry instance %s is not listed", owner)
+	}
+	return cl.flight(ctx, mb, key, nonce)
+}
+
+func (cl *Client) flight(ctx context.Context, mb platform.Member, key caller.Key, nonce caller.Nonce) (caller.Word, error) {
+	ctx, cancel := cl.opts.withTimeout(ctx)
+	defer cancel()
+	rp, err := cl.at(mb.Address).Flight(ctx, &FlightRequest{Key: string(key), Nonce: string(nonce)})
+	if err != nil {
+		return caller.Word{}, eris.Wrapf(err, "ask %s", mb.ID)
+	}
+	switch rp.State {
+	case FlightState_FLIGHT_ANSWERED:
+		return caller.Word{Outcome: endpoint.OutcomeAnswered, Answer: answerIn(rp.Answer)}, nil
+	case FlightState_FLIGHT_RELEASED:
+		return caller.Word{Outcome: endpoint.OutcomeNotRun}, nil
+	case FlightState_FLIGHT_PENDING:
+		return caller.PendingWord(), nil
+	}
+	return caller.Word{}, errForgotten
+}
+
+// Collect asks all others for a kept answer; a pending one is the word if none has it.
+func (cl *Client) Collect(ctx context.Context, key caller.Key) (caller.Word, error) {
+	others := cl.peers()
+	words := make(chan caller.Word, len(others))
+	for _, mb := range others {
+		go func() {
+			// A peer that cannot be asked is one that has no answer.
+			word, _ := cl.flight(ctx, mb, key, "")
+			words <- word
+		}()
+	}
+	best, found := caller.Word{}, false
+	for range others {
+		word := <-words
+		if word.Answer != nil {
+			return word, nil
+		}
+		if word.Pending {
+			best, found = word, true
+		}
+	}
+	if !found {
+		return best, errForgotten
+	}
+	return best, nil
+}
+
+// Push hands rows that were just read from the platform to all others, without waiting.
+func (cl *Client) Push(ctx context.Context, rows []platform.Row) {
+	if len(rows) == 0 || len(rows) > pushRows {
+		return
+	}
+	rq := &PushRequest{Entry: string(cl.opts.Entry), Rows: rowsOut(rows)}
+	for _, mb := range cl.peers() {
+		go func() {
+			ctx, cancel := cl.opts.withTimeout(ctx)
+			defer cancel()
+			// A lost push costs time until the next poll or sync.
+			_, _ = cl.at(mb.Address).Push(ctx, rq)
+		}()
+	}
+}
+
+// Run compares snapshots with one random peer at each interval until the context ends.
+func (cl *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(cl.opts.SyncInterval)
+	defer ticker.Stop()
+	for {
+		if others := cl.peers(); len(others) > 0 {
+			cl.sync(ctx, others[rand.IntN(len(others))].Address)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// sync takes what one peer has and this entry instance lacks.
+func (cl *Client) sync(ctx context.Context, address string) {
+	ctx, cancel := cl.opts.withTimeout(ctx)
+	defer cancel()
+	sn := cl.snapshots.Snapshot()
+	rp, err := cl.at(address).Sync(ctx, &SyncRequest{Entry: string(cl.opts.Entry), Version: uint64(sn.Version), Digest: sn.Digest()})
+	if err != nil || rp.Digest == sn.Digest() {
+		return
+	}
+	cl.snapshots.Merge(rowsIn(rp.Rows), platform.Version(rp.Version))
+}
+
+// Start takes the whole snapshot of the first seed that answers and reports whether one did.
+func (cl *Client) Start(ctx context.Context) bool {
+	for _, address := range cl.opts.Seeds {
+		if cl.startFrom(ctx, address) {
+			return true
+		}
+	}
+	return false
+}
+
+func (cl *Client) startFrom(ctx context.Context, address string) bool {
+	ctx, cancel := cl.opts.withTimeout(ctx)
+	defer cancel()
+	rp, err := cl.at(address).Sync(ctx, &SyncRequest{Entry: string(cl.opts.Entry), All: true})
+	if err != nil || len(rp.Rows) == 0 {
+		return false
+	}
+	cl.snapshots.SeedMembers(membersIn(rp.Members))
+	cl.snapshots.Merge(rowsIn(rp.Rows), platform.Version(rp.Version))
+	return true
+}
--- /dev/null
+++ b/proof/fleet_test.go
@@ -0,0 +1,253 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/aspenseam/aspenseam/platform"
+	"github.com/aspenseam/aspenseam/standin"
+)
+
+// shape says what a fleet of a test is made of.
+type shape struct {
+	halls     int
+	entries   int // in each hall
+	endpoints int // in each hall
+	// workMs is how long each execution takes.
+	workMs int
+	noEcho bool
+	// settings are merged over the usual ones, by section.
+	settings map[string]map[string]any
+}
+
+// fleet is the processes of one test.
+type fleet struct {
+	t         *testing.T
+	dir       string
+	sp        shape
+	platform  *process
+	store     string
+	relays    map[string]*relay // by target address
+	entries   []*entryProcess
+	endpoints []*endpointProcess
+	members   []platform.Member
+}
+
+type entryProcess struct {
+	*process
+	id       string
+	hall     string
+	ip       string
+	callers  string
+	peers    string
+	operator string
+	file     string
+	store    *relay
+	inbound  *relay
+}
+
+type endpointProcess struct {
+	*process
+	id      platform.InstanceID
+	hall    string
+	address string
+	inbound *relay
+	sp      shape
+}
+
+// newFleet starts a fleet and waits until every entry instance serves.
+func newFleet(t *testing.T, sp shape) *fleet {
+	t.Helper()
+	fl := &fleet{t: t, dir: t.TempDir(), sp: sp, relays: map[string]*relay{}}
+	fl.store = freeAddress(t, "127.0.0.1")
+	for hall := range sp.halls {
+		for range sp.endpoints {
+			fl.planEndpoint(fmt.Sprintf("hall%d", hall+1))
+		}
+		for range sp.entries {
+			fl.planEntry(fmt.Sprintf("hall%d", hall+1))
+		}
+	}
+	fl.startPlatform()
+	for _, ep := range fl.endpoints {
+		fl.startEndpoint(ep)
+	}
+	for _, en := range fl.entries {
+		fl.startEntry(en)
+	}
+	for _, en := range fl.entries {
+		fl.awaitReady(en)
+	}
+	return fl
+}
+
+func (fl *fleet) planEndpoint(hall string) {
+	ep := &endpointProcess{id: platform.InstanceID(fmt.Sprintf("w%d", len(fl.endpoints)+1)), hall: hall, address: freeAddress(fl.t, "127.0.0.1"), sp: fl.sp}
+	ep.inbound = newRelay(fl.t, ep.address)
+	fl.endpoints = append(fl.endpoints, ep)
+	fl.members = append(fl.members, platform.Member{ID: ep.id, Role: platform.RoleWorker, State: platform.MemberLive, Hall: platform.HallID(hall)})
+}
+
+func (fl *fleet) planEntry(hall string) *entryProcess {
+	number := len(fl.entries) + 1
+	en := &entryProcess{id: fmt.Sprintf("e%d", number), hall: hall, ip: fmt.Sprintf("127.0.1.%d", number)}
+	en.callers, en.peers, en.operator = freeAddress(fl.t, "127.0.0.1"), freeAddress(fl.t, "127.0.0.1"), freeAddress(fl.t, "127.0.0.1")
+	en.store, en.inbound = newRelay(fl.t, fl.store), newRelay(fl.t, en.peers)
+	fl.entries = append(fl.entries, en)
+	fl.members = append(fl.members, platform.Member{ID: platform.InstanceID(en.id), Role: platform.RoleEntry, State: platform.MemberLive, Hall: platform.HallID(hall), Address: en.inbound.address()})
+	return en
+}
+
+func (fl *fleet) startPlatform() {
+	seed := standin.Seed{Members: fl.members}
+	seed.Services = []platform.Service{{ID: service, Slots: 8, Connections: 64, Echo: !fl.sp.noEcho, Asked: len(fl.endpoints), Budget: 2}}
+	for ix, ep := range fl.endpoints {
+		seed.Instances = append(seed.Instances, platform.Instance{ID: ep.id, Hall: platform.HallID(ep.hall), Rack: platform.RackID(fmt.Sprintf("r%d", ix/4)), Pool: "pool1", Address: ep.inbound.address(), State: platform.InstanceServing, Epoch: 1, Services: []platform.ServiceID{service}})
+	}
+	file := fl.write("seed.json", seed)
+	fl.platform = startProcess(fl.t, fl.dir, "platform", "standin-platform", "--address", fl.store, "--seed", file)
+	fl.awaitListening(fl.store)
+}
+
+func (fl *fleet) startEndpoint(ep *endpointProcess) {
+	ep.process = startProcess(fl.t, fl.dir, string(ep.id), "standin-endpoint", "--address", ep.address, "--id", string(ep.id), "--work", fmt.Sprintf("%dms", ep.sp.workMs))
+	fl.awaitListening(ep.address)
+}
+
+func (fl *fleet) awaitListening(address string) {
+	fl.t.Helper()
+	eventually(fl.t, "listening on "+address, func() bool {
+		rp, err := http.Get("http://" + address + "/control/counts")
+		if err != nil {
+			return false
+		}
+		_ = rp.Body.Close()
+		return true
+	})
+}
+
+// startEntry starts an entry instance, or starts it again.
+func (fl *fleet) startEntry(en *entryProcess) {
+	seeds := []string{}
+	for _, other := range fl.entries {
+		if other != en {
+			seeds = append(seeds, other.inbound.address())
+		}
+	}
+	st := map[string]map[string]any{
+		"entry":    {"id": en.id, "hall": en.hall, "callerAddress": en.callers, "peerAddress": en.peers, "operatorAddress": en.operator, "sourceIP": en.ip},
+		"platform": {"addresses": []string{en.store.address()}, "pollInterval": "200ms", "timeout": "1s"},
+		"peer":     {"keys": []string{peerKey}, "seeds": seeds, "syncInterval": "200ms"},
+		"caller":   {},
+		"endpoint": {},
+	}
+	for section, values := range fl.sp.settings {
+		maps.Copy(st[section], values)
+	}
+	all := map[string]any{"operators": []map[string]string{{"name": "alice", "token": token}, {"name": "bruno", "token": token + "-bruno"}}}
+	for section, values := range st {
+		all[section] = values
+	}
+	en.file = fl.write(en.id+".json", all)
+	en.process = startProcess(fl.t, fl.dir, en.id, "entry", "--settings", en.file)
+}
+
+func (fl *fleet) awaitReady(en *entryProcess) {
+	fl.t.Helper()
+	eventually(fl.t, en.id+" ready", func() bool {
+		rp, err := http.Get("http://" + en.callers + "/.aspenseam/ready")
+		if err != nil {
+			return false
+		}
+		_ = rp.Body.Close()
+		return rp.StatusCode == http.StatusNoContent
+	})
+}
+
+func (fl *fleet) write(name string, value any) string {
+	fl.t.Helper()
+	raw, err := json.Marshal(value)
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	path := filepath.Join(fl.dir, name)
+	if err := os.WriteFile(path, raw, 0o644); err != nil {
+		fl.t.Fatal(err)
+	}
+	return path
+}
+
+// fail switches the platform's faults.
+func (fl *fleet) fail(fs standin.PlatformFaults) {
+	fl.t.Helper()
+	control(fl.t, http.MethodPut, fl.store, "/control/faults", fs, nil)
+}
+
+func (fl *fleet) platformCounts() standin.PlatformCounts {
+	fl.t.Helper()
+	var counts standin.PlatformCounts
+	control(fl.t, http.MethodGet, fl.store, "/control/counts", nil, &counts)
+	return counts
+}
+
+// list makes the platform list all members but some.
+func (fl *fleet) list(without ...platform.InstanceID) {
+	fl.t.Helper()
+	var members []platform.Member
+	for _, mb := range fl.members {
+		drop := false
+		for _, id := range without {
+			drop = drop || id == mb.ID
+		}
+		if !drop {
+			members = append(members, mb)
+		}
+	}
+	control(fl.t, http.MethodPut, fl.store, "/control/members", members, nil)
+}
+
+func (ep *endpointProcess) fail(fs standin.EndpointFaults) {
+	ep.t.Helper()
+	control(ep.t, http.MethodPut, ep.address, "/control/faults", fs, nil)
+}
+
+func (ep *endpointProcess) counts() standin.EndpointCounts {
+	ep.t.Helper()
+	var counts standin.EndpointCounts
+	control(ep.t, http.MethodGet, ep.address, "/control/counts", nil, &counts)
+	return counts
+}
+
+// executions counts over all living endpoints how often a request ran.
+func (fl *fleet) executions(id string) int {
+	fl.t.Helper()
+	count := 0
+	for _, ep := range fl.endpoints {
+		select {
+		case <-ep.done:
+		default:
+			count += ep.counts().Executions[id]
+		}
+	}
+	return count
+}
+
+func (fl *fleet) hallOf(id platform.InstanceID) string {
+	return fl.endpoint(id).hall
+}
+
+func (fl *fleet) endpoint(id platform.InstanceID) *endpointProcess {
+	fl.t.Helper()
+	for _, ep := range fl.endpoints {
+		if ep.id == id {
+			return ep
+		}
+	}
+	fl.t.Fatalf("no endpoint %q", id)
+	return nil
+}
--- /dev/null
+++ b/proof/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package proof
+
+const raceEnabled = true
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,271 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+const (
+	secretLength = 16
+	unitAddress  = "address"
+	unitKey      = "key"
+)
+
+// parser collects findings while it walks one file.
+type parser struct {
+	src      []byte
+	st       *Settings
+	byPath   map[string]field
+	sections map[string]bool
+	// seen holds the places of settings by path.
+	seen     map[string]int
+	findings Findings
+}
+
+// Parse reads settings from JSON with comments; faults are returned as Findings.
+func Parse(src []byte) (*Settings, error) {
+	ps := newParser(src)
+	root, err := hujson.Parse(src)
+	if err != nil {
+		ps.addSyntax(err)
+		return nil, ps.findings
+	}
+	ps.walk("", root)
+	ps.finish()
+	if len(ps.findings) > 0 {
+		sort.SliceStable(ps.findings, func(ix, jx int) bool { return ps.findings[ix].before(ps.findings[jx]) })
+		return nil, ps.findings
+	}
+	return ps.st, nil
+}
+
+func (fd Finding) before(other Finding) bool {
+	if fd.Line != other.Line {
+		return fd.Line < other.Line
+	}
+	return fd.Column < other.Column
+}
+
+func newParser(src []byte) *parser {
+	ps := &parser{src: src, st: &Settings{}, byPath: map[string]field{}, sections: map[string]bool{"": true}, seen: map[string]int{}}
+	for _, fl := range schema {
+		ps.byPath[fl.path] = fl
+		if section, _, ok := strings.Cut(fl.path, "."); ok {
+			ps.sections[section] = true
+		}
+	}
+	return ps
+}
+
+// add records a finding at a byte offset of the file.
+func (ps *parser) add(offset int, path, format string, args ...any) {
+	offset = min(offset, len(ps.src))
+	before := ps.src[:offset]
+	line := bytes.Count(before, []byte("\n")) + 1
+	column := offset - bytes.LastIndexByte(before, '\n')
+	ps.findings = append(ps.findings, Finding{Line: line, Column: column, Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+// addSyntax records the place that the syntax error names.
+func (ps *parser) addSyntax(err error) {
+	line, column := 1, 1
+	text := strings.TrimPrefix(err.Error(), "hujson: ")
+	if _, scanErr := fmt.Sscanf(text, "line %d, column %d:", &line, &column); scanErr == nil {
+		_, text, _ = strings.Cut(text, ": ")
+	}
+	ps.findings = append(ps.findings, Finding{Line: line, Column: column, Message: text})
+}
+
+// walk visits an object: each member is a section or a field.
+func (ps *parser) walk(path string, vl hujson.Value) {
+	ob, ok := vl.Value.(*hujson.Object)
+	if !ok {
+		ps.add(vl.StartOffset, path, "must be an object")
+		return
+	}
+	for ix := range ob.Members {
+		ps.member(path, &ob.Members[ix])
+	}
+}
+
+func (ps *parser) member(section string, mb *hujson.ObjectMember) {
+	lit, _ := mb.Name.Value.(hujson.Literal)
+	path := lit.String()
+	if section != "" {
+		path = section + "." + path
+	}
+	if _, twice := ps.seen[path]; twice {
+		ps.add(mb.Name.StartOffset, path, "stands twice")
+		return
+	}
+	ps.seen[path] = mb.Name.StartOffset
+	if fl, ok := ps.byPath[path]; ok {
+		ps.field(fl, mb.Value)
+		return
+	}
+	if section == "" && ps.sections[path] {
+		ps.walk(path, mb.Value)
+		return
+	}
+	ps.add(mb.Name.StartOffset, path, "unknown setting")
+}
+
+// field decodes one value into its target and checks it.
+func (ps *parser) field(fl field, vl hujson.Value) {
+	vl = vl.Clone()
+	offset := vl.StartOffset
+	vl.Standardize()
+	raw := bytes.TrimSpace(vl.Pack())
+	if err := decode(raw, fl.target(ps.st)); err != nil {
+		ps.add(offset, fl.path, "must be a %s: %v", fl.typeName(), err)
+		return
+	}
+	if message := fl.check(ps.st); message != "" {
+		ps.add(offset, fl.path, "%s", message)
+	}
+}
+
+// decode stores raw JSON through the target pointer.
+func decode(raw []byte, target any) error {
+	dr, isDuration := target.(*time.Duration)
+	if !isDuration {
+		dec := json.NewDecoder(bytes.NewReader(raw))
+		dec.DisallowUnknownFields()
+		return dec.Decode(target)
+	}
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return err
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		return err
+	}
+	*dr = value
+	return nil
+}
+
+// check returns what is wrong with the stored value, or nothing.
+func (fl field) check(st *Settings) string {
+	switch vl := fl.target(st).(type) {
+	case *string:
+		return fl.checkText(*vl)
+	case *[]string:
+		return fl.checkTexts(*vl)
+	case *[]Operator:
+		return checkOperators(*vl)
+	case *time.Duration:
+		return outside(*vl, fl.low.(time.Duration), fl.high.(time.Duration))
+	case *int:
+		return outside(*vl, fl.low.(int), fl.high.(int))
+	case *float64:
+		return outside(*vl, fl.low.(float64), fl.high.(float64))
+	}
+	return ""
+}
+
+func outside[T int | float64 | time.Duration](vl, low, high T) string {
+	if vl < low || vl > high {
+		return fmt.Sprintf("must be %v to %v, is %v", low, high, vl)
+	}
+	return ""
+}
+
+func (fl field) checkTexts(vls []string) string {
+	if fl.required && len(vls) == 0 {
+		return "must not be empty"
+	}
+	for _, vl := range vls {
+		if message := fl.checkText(vl); message != "" {
+			return message
+		}
+	}
+	return ""
+}
+
+func (fl field) checkText(vl string) string {
+	switch {
+	case vl == "":
+		return "must not be empty"
+	case fl.unit == unitAddress:
+		return checkAddress(vl)
+	case fl.unit == unitIP && net.ParseIP(vl) == nil:
+		return fmt.Sprintf("must be an IP, is %q", vl)
+	case fl.unit == unitKey && len(vl) < secretLength:
+		return fmt.Sprintf("must have at least %d characters", secretLength)
+	}
+	return ""
+}
+
+// checkAddress wants a literal IP and a port, since processes find each other by IP.
+func checkAddress(vl string) string {
+	host, _, err := net.SplitHostPort(vl)
+	if err != nil {
+		return fmt.Sprintf("must be IP:port, is %q", vl)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Sprintf("must name an IP, is %q", vl)
+	}
+	return ""
+}
+
+func checkOperators(ops []Operator) string {
+	names := map[string]bool{}
+	for _, op := range ops {
+		if op.Name == "" {
+			return "each needs a name"
+		}
+		if names[op.Name] {
+			return fmt.Sprintf("operator %q stands twice", op.Name)
+		}
+		names[op.Name] = true
+		if len(op.Token) < secretLength {
+			return fmt.Sprintf("token of %q must have at least %d characters", op.Name, secretLength)
+		}
+	}
+	return ""
+}
+
+// finish fills in defaults, names missing settings and checks settings against each other.
+func (ps *parser) finish() {
+	for _, fl := range schema {
+		if _, set := ps.seen[fl.path]; set {
+			continue
+		}
+		if fl.required {
+			ps.add(len(ps.src), fl.path, "is required")
+			continue
+		}
+		fl.setDefault(ps.st)
+	}
+	if ps.st.Caller.DefaultTimeout > ps.st.Caller.LongestRequest {
+		ps.add(ps.seen["caller.defaultTimeout"], "caller.defaultTimeout", "must not exceed caller.longestRequest")
+	}
+	if ps.st.Endpoint.EjectFor > ps.st.Endpoint.EjectForMax {
+		ps.add(ps.seen["endpoint.ejectFor"], "endpoint.ejectFor", "must not exceed endpoint.ejectForMax")
+	}
+}
+
+func (fl field) setDefault(st *Settings) {
+	switch tg := fl.target(st).(type) {
+	case *string:
+		*tg = fl.fallback.(string)
+	case *[]string:
+		*tg = fl.fallback.([]string)
+	case *[]Operator:
+		*tg = fl.fallback.([]Operator)
+	case *time.Duration:
+		*tg = fl.fallback.(time.Duration)
+	case *int:
+		*tg = fl.fallback.(int)
+	case *float64:
+		*tg = fl.fallback.(float64)
+	}
+}
--- /dev/null
+++ b/settings/schema.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+const (
+	unitBytes = "bytes"
+	unitShare = "share"
+	unitCount = "count"
+	unitIP    = "IP"
+	kibibyte  = 1 << 10
+	mebibyte  = 1 << 20
+)
+
+// field describes one setting: where it stands, what it may hold and where it goes.
+type field struct {
+	path     string
+	doc      string
+	unit     string
+	required bool
+	secret   bool
+	// target returns the pointer that the value is stored through.
+	target func(*Settings) any
+	// fallback, low and high hold the type of the target's element; nil means none.
+	fallback any
+	low      any
+	high     any
+}
+
+// schema is the one list of settings; the parser, the checker and docs/SETTINGS.md follow it.
+var schema = []field{
+	{path: "entry.id", doc: "Name of this entry instance, unique in the fleet.", required: true, target: func(st *Settings) any { return &st.Entry.ID }},
+	{path: "entry.hall", doc: "Data hall in which it runs.", required: true, target: func(st *Settings) any { return &st.Entry.Hall }},
+	{path: "entry.callerAddress", doc: "IP and port for callers.", unit: "address", required: true, target: func(st *Settings) any { return &st.Entry.CallerAddress }},
+	{path: "entry.peerAddress", doc: "IP and port for other entry instances.", unit: "address", required: true, target: func(st *Settings) any { return &st.Entry.PeerAddress }},
+	{path: "entry.operatorAddress", doc: "IP and port for operators and metrics.", unit: "address", required: true, target: func(st *Settings) any { return &st.Entry.OperatorAddress }},
+	{path: "entry.sourceIP", doc: "Local IP to open connections from; the system chooses without it.", unit: unitIP, target: func(st *Settings) any { return &st.Entry.SourceIP }, fallback: ""},
+	{path: "platform.addresses", doc: "IP and port of each platform front end; tried in turn.", unit: "address", required: true, target: func(st *Settings) any { return &st.Platform.Addresses }},
+	{path: "platform.pollInterval", doc: "Time between two reads of changes and membership.", target: func(st *Settings) any { return &st.Platform.PollInterval }, fallback: time.Second, low: 50 * time.Millisecond, high: 10 * time.Second},
+	{path: "platform.timeout", doc: "Longest wait for one answer of the platform.", target: func(st *Settings) any { return &st.Platform.Timeout }, fallback: time.Second, low: 50 * time.Millisecond, high: 30 * time.Second},
+	{path: "peer.keys", doc: "Fleet keys, newest first; the first signs, all are accepted. At least 16 characters each.", unit: "key", required: true, secret: true, target: func(st *Settings) any { return &st.Peer.Keys }},
+	{path: "peer.timeout", doc: "Longest wait for one answer of a peer.", target: func(st *Settings) any { return &st.Peer.Timeout }, fallback: 500 * time.Millisecond, low: 20 * time.Millisecond, high: 10 * time.Second},
+	{path: "peer.syncInterval", doc: "Time between two comparisons of snapshots with one random peer.", target: func(st *Settings) any { return &st.Peer.SyncInterval }, fallback: time.Second, low: 50 * time.Millisecond, high: time.Minute},
+	{path: "peer.seeds", doc: "Peer addresses to ask for a snapshot when the platform is down at start.", unit: "address", target: func(st *Settings) any { return &st.Peer.Seeds }, fallback: []string(nil)},
+	{path: "operators", doc: "Operators by name with their tokens, at least 16 characters each.", unit: "name and token", secret: true, target: func(st *Settings) any { return &st.Operators }, fallback: []Operator(nil)},
+	{path: "caller.defaultTimeout", doc: "Time for a request that names no deadline.", target: func(st *Settings) any { return &st.Caller.DefaultTimeout }, fallback: 10 * time.Second, low: 10 * time.Millisecond, high: 10 * time.Minute},
+	{path: "caller.longestRequest", doc: "Longest time that any attempt may run; deadlines beyond it are cut to it.", target: func(st *Settings) any { return &st.Caller.LongestRequest }, fallback: 30 * time.Second, low: 100 * time.Millisecond, high: 30 * time.Minute},
+	{path: "caller.headerBytes", doc: "Largest header of a request.", unit: unitBytes, target: func(st *Settings) any { return &st.Caller.HeaderBytes }, fallback: 32 * kibibyte, low: 4 * kibibyte, high: mebibyte},
+	{path: "caller.bodyBytes", doc: "Largest body of a request.", unit: unitBytes, target: func(st *Settings) any { return &st.Caller.BodyBytes }, fallback: mebibyte, low: kibibyte, high: 64 * mebibyte},
+	{path: "caller.answerBytes", doc: "Largest answer held back until it is complete; a larger one streams.", unit: unitBytes, target: func(st *Settings) any { return &st.Caller.AnswerBytes }, fallback: 256 * kibibyte, low: kibibyte, high: 16 * mebibyte},
+	{path: "caller.bufferBytes", doc: "Memory for all bodies and answers held at once.", unit: unitBytes, target: func(st *Settings) any { return &st.Caller.BufferBytes }, fallback: 12 * mebibyte, low: mebibyte, high: 1024 * mebibyte},
+	{path: "caller.queueLength", doc: "Requests of one service that may wait for a free slot.", unit: unitCount, target: func(st *Settings) any { return &st.Caller.QueueLength }, fallback: 256, low: 0, high: 100000},
+	{path: "caller.connections", doc: "Open connections of callers.", unit: unitCount, target: func(st *Settings) any { return &st.Caller.Connections }, fallback: 1024, low: 1, high: 100000},
+	{path: "caller.headerTimeout", doc: "Longest time in which a header, and a body, must have come in.", target: func(st *Settings) any { return &st.Caller.HeaderTimeout }, fallback: 10 * time.Second, low: 50 * time.Millisecond, high: 5 * time.Minute},
+	{path: "caller.claimWait", doc: "Longest time that a claim waits for others to share its write.", target: func(st *Settings) any { return &st.Caller.ClaimWait }, fallback: 5 * time.Millisecond, low: time.Duration(0), high: time.Second},
+	{path: "caller.claimGroup", doc: "Most claims in one write.", unit: unitCount, target: func(st *Settings) any { return &st.Caller.ClaimGroup }, fallback: 64, low: 1, high: 1000},
+	{path: "caller.answersKept", doc: "Answers kept in memory for collection.", unit: unitCount, target: func(st *Settings) any { return &st.Caller.AnswersKept }, fallback: 4096, low: 0, high: 1000000},
+	{path: "caller.answerRetention", doc: "How long an answer is kept in memory for collection.", target: func(st *Settings) any { return &st.Caller.AnswerRetention }, fallback: 10 * time.Minute, low: time.Second, high: 24 * time.Hour},
+	{path: "endpoint.dialTimeout", doc: "Longest time to connect to an endpoint.", target: func(st *Settings) any { return &st.Endpoint.DialTimeout }, fallback: 250 * time.Millisecond, low: 5 * time.Millisecond, high: 10 * time.Second},
+	{path: "endpoint.entriesMax", doc: "Most entry instances that can route to one endpoint; its connections are divided by this.", unit: unitCount, target: func(st *Settings) any { return &st.Endpoint.EntriesMax }, fallback: 9, low: 1, high: 64},
+	{path: "endpoint.retryShare", doc: "Retries allowed for each request, on average.", unit: unitShare, target: func(st *Settings) any { return &st.Endpoint.RetryShare }, fallback: 0.1, low: 0.0, high: 1.0},
+	{path: "endpoint.retryBurst", doc: "Retries allowed beyond the average at once.", unit: unitCount, target: func(st *Settings) any { return &st.Endpoint.RetryBurst }, fallback: 20, low: 0, high: 10000},
+	{path: "endpoint.ejectAfter", doc: "Failures in a row after which an endpoint is ejected.", unit: unitCount, target: func(st *Settings) any { return &st.Endpoint.EjectAfter }, fallback: 5, low: 1, high: 1000},
+	{path: "endpoint.ejectFor", doc: "Time out of routing after the first ejection; doubles with each failed trial.", target: func(st *Settings) any { return &st.Endpoint.EjectFor }, fallback: time.Second, low: 10 * time.Millisecond, high: 5 * time.Minute},
+	{path: "endpoint.ejectForMax", doc: "Longest time out of routing between two trials.", target: func(st *Settings) any { return &st.Endpoint.EjectForMax }, fallback: 10 * time.Second, low: 10 * time.Millisecond, high: time.Hour},
+	{path: "endpoint.ejectShareMax", doc: "Largest share of a service's endpoints that may be ejected; beyond it the detector is distrusted.", unit: unitShare, target: func(st *Settings) any { return &st.Endpoint.EjectShareMax }, fallback: 0.5, low: 0.0, high: 1.0},
+	{path: "endpoint.goneAfter", doc: "Time of refused connections alone after which an endpoint's sessions are moved.", target: func(st *Settings) any { return &st.Endpoint.GoneAfter }, fallback: 3 * time.Second, low: 100 * time.Millisecond, high: time.Hour},
+}
+
+// typeName returns the word for the field's type that users see.
+func (fl field) typeName() string {
+	switch fl.target(&Settings{}).(type) {
+	case *string:
+		return "string"
+	case *[]string:
+		return "list of strings"
+	case *[]Operator:
+		return "list of objects"
+	case *time.Duration:
+		return "duration"
+	case *int:
+		return "integer"
+	case *float64:
+		return "number"
+	}
+	return "unknown"
+}
+
+// Markdown returns the schema as the page docs/SETTINGS.md.
+func Markdown() string {
+	var sb strings.Builder
+	sb.WriteString("# Settings\n\nGenerated from package `settings` by `go test ./settings -update`. The file is JSON with comments; `aspenseam check FILE` reports every finding with line and column. Durations are written like `250ms`, `10s` or `5m`.\n\n")
+	sb.WriteString("| setting | type | unit | default | bounds | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, fl := range schema {
+		fmt.Fprintf(&sb, "| `%s` | %s | %s | %s | %s | %s |\n", fl.path, fl.typeName(), fl.unit, fl.defaultText(), fl.boundsText(), fl.docText())
+	}
+	return sb.String()
+}
+
+func (fl field) defaultText() string {
+	switch vl := fl.fallback.(type) {
+	case nil:
+		return "required"
+	case []string, []Operator:
+		return "none"
+	case string:
+		if vl == "" {
+			return "none"
+		}
+		return vl
+	default:
+		return fmt.Sprint(vl)
+	}
+}
+
+func (fl field) boundsText() string {
+	if fl.low == nil {
+		return ""
+	}
+	return fmt.Sprintf("%v to %v", fl.low, fl.high)
+}
+
+func (fl field) docText() string {
+	if fl.secret {
+		return fl.doc + " Never logged."
+	}
+	return fl.doc
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,119 @@
+// Package settings reads and checks the settings file of an entry instance, JSON with comments.
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Operator is a named person or script with a token.
+type Operator struct {
+	Name  string
+	Token string
+}
+
+// Settings holds every setting of an entry instance.
+type Settings struct {
+	Entry     Entry
+	Platform  Platform
+	Peer      Peer
+	Operators []Operator
+	Caller    Caller
+	Endpoint  Endpoint
+}
+
+// Entry names the instance and the addresses on which it listens.
+type Entry struct {
+	ID              string
+	Hall            string
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
+	SourceIP        string
+}
+
+// Platform tells where the platform is and how long to wait for it.
+type Platform struct {
+	Addresses    []string
+	PollInterval time.Duration
+	Timeout      time.Duration
+}
+
+// Peer holds what entry instances share among themselves.
+type Peer struct {
+	Keys         []string
+	Timeout      time.Duration
+	SyncInterval time.Duration
+	Seeds        []string
+}
+
+// Caller bounds what callers may ask for.
+type Caller struct {
+	DefaultTimeout  time.Duration
+	LongestRequest  time.Duration
+	HeaderBytes     int
+	BodyBytes       int
+	AnswerBytes     int
+	BufferBytes     int
+	QueueLength     int
+	Connections     int
+	HeaderTimeout   time.Duration
+	ClaimWait       time.Duration
+	ClaimGroup      int
+	AnswersKept     int
+	AnswerRetention time.Duration
+}
+
+// Endpoint steers routing, limits and retries.
+type Endpoint struct {
+	DialTimeout   time.Duration
+	EntriesMax    int
+	RetryShare    float64
+	RetryBurst    int
+	EjectAfter    int
+	EjectFor      time.Duration
+	EjectForMax   time.Duration
+	EjectShareMax float64
+	GoneAfter     time.Duration
+}
+
+// Finding is one fault of a settings file at its place.
+type Finding struct {
+	Line    int
+	Column  int
+	Path    string
+	Message string
+}
+
+// Findings is every fault of one file.
+type Findings []Finding
+
+// String returns the finding as line:column: path: message.
+func (fd Finding) String() string {
+	if fd.Path == "" {
+		return fmt.Sprintf("%d:%d: %s", fd.Line, fd.Column, fd.Message)
+	}
+	return fmt.Sprintf("%d:%d: %s: %s", fd.Line, fd.Column, fd.Path, fd.Message)
+}
+
+// Error returns all findings, one a line.
+func (fs Findings) Error() string {
+	lines := make([]string, len(fs))
+	for ix, fd := range fs {
+		lines[ix] = fd.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks the file; a faulty one is returned as Findings.
+func Load(path string) (*Settings, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	return Parse(src)
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,70 @@
+package settings_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/aspenseam/aspenseam/settings"
+	"github.com/cockroachdb/datadriven"
+)
+
+var update = flag.Bool("update", false, "write docs/SETTINGS.md from the schema")
+
+const page = "../docs/SETTINGS.md"
+
+func TestParse(t *testing.T) {
+	datadriven.RunTest(t, "testdata/parse", func(t *testing.T, td *datadriven.TestData) string {
+		st, err := settings.Parse([]byte(td.Input))
+		var findings settings.Findings
+		if errors.As(err, &findings) {
+			return findings.Error()
+		}
+		if err != nil {
+			return err.Error()
+		}
+		return fmt.Sprintf("entry %s in %s, poll %v, retryShare %v, %d operators", st.Entry.ID, st.Entry.Hall, st.Platform.PollInterval, st.Endpoint.RetryShare, len(st.Operators))
+	})
+}
+
+func TestSchemaMatchesPage(t *testing.T) {
+	got := settings.Markdown()
+	if *update {
+		if err := os.WriteFile(page, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s is not what the schema says; run go test ./settings -update", page)
+	}
+}
+
+func TestExamplesAreSound(t *testing.T) {
+	files, err := filepath.Glob("../examples/*/entry*.jsonc")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no examples: %v", err)
+	}
+	for _, file := range files {
+		if _, err := settings.Load(file); err != nil {
+			t.Errorf("%s:\n%v", file, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"entry": {"id": 1}, /* c */ "peer": []}`))
+	f.Add([]byte(`{"operators": [{"name": "a"}],}`))
+	f.Fuzz(func(t *testing.T, src []byte) {
+		st, err := settings.Parse(src)
+		if (st == nil) == (err == nil) {
+			t.Fatalf("settings %v with error %v", st, err)
+		}
+	})
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,350 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/aspenseam/aspenseam/platform"
+)
+
+// PlatformFaults switches what the platform does wrong; the zero value is a healthy one.
+type PlatformFaults struct {
+	// DelayMs delays every answer.
+	DelayMs int `json:"delayMs"`
+	// Down answers 503 without effect.
+	Down bool `json:"down"`
+	// Silent takes calls and never answers, without effect.
+	Silent bool `json:"silent"`
+	// LoseAnswers is how many of the next commits take effect without an answer.
+	LoseAnswers int `json:"loseAnswers"`
+	// LateWrites is how many of the next commits lose their answer and take effect only after LateMs.
+	LateWrites int `json:"lateWrites"`
+	LateMs     int `json:"lateMs"`
+	// StaleMembers freezes the membership as it is now.
+	StaleMembers bool `json:"staleMembers"`
+	// StaleFeed answers reads of changes as of this version; 0 means the newest.
+	StaleFeed platform.Version `json:"staleFeed"`
+}
+
+// PlatformCounts says how often the platform was asked.
+type PlatformCounts struct {
+	Reads     int64            `json:"reads"`
+	Writes    int64            `json:"writes"`
+	Rows      int64            `json:"rows"`
+	Conflicts int64            `json:"conflicts"`
+	Version   platform.Version `json:"version"`
+	// Actions counts drains, reboots and other side effects by "action instance", however often asked with one step id.
+	Actions map[string]int `json:"actions"`
+}
+
+// Platform is an in-memory table, object store and membership over HTTP.
+type Platform struct {
+	mu      sync.Mutex
+	version platform.Version
+	rows    map[platform.RowKey]platform.Row
+	members []platform.Member
+	stale   []platform.Member
+	objects map[string][]byte
+	steps   map[string]bool
+	faults  PlatformFaults
+	counts  PlatformCounts
+	quit    chan struct{}
+}
+
+// NewPlatform returns an empty healthy platform.
+func NewPlatform() *Platform {
+	return &Platform{rows: map[platform.RowKey]platform.Row{}, objects: map[string][]byte{}, steps: map[string]bool{}, quit: make(chan struct{}), counts: PlatformCounts{Actions: map[string]int{}}}
+}
+
+// Seed is what a platform starts with.
+type Seed struct {
+	Instances []platform.Instance `json:"instances"`
+	Services  []platform.Service  `json:"services"`
+	Members   []platform.Member   `json:"members"`
+}
+
+// Load writes the seed's rows and membership.
+func (pl *Platform) Load(sd Seed) error {
+	var writes []platform.Write
+	for _, sv := range sd.Services {
+		raw, err := platform.Encode(sv)
+		if err != nil {
+			return err
+		}
+		writes = append(writes, platform.Write{Table: platform.TableService, Key: string(sv.ID), Value: raw})
+	}
+	for _, in := range sd.Instances {
+		raw, err := platform.Encode(in)
+		if err != nil {
+			return err
+		}
+		writes = append(writes, platform.Write{Table: platform.TableInstance, Key: string(in.ID), Value: raw})
+	}
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.members = sd.Members
+	pl.apply(platform.Tx{Writes: writes})
+	return nil
+}
+
+// Handler returns the platform's protocol, and its switches below /control/.
+func (pl *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/table/{table}/{key}", pl.faulty(pl.get))
+	mux.HandleFunc("GET /v1/changes", pl.faulty(pl.changes))
+	mux.HandleFunc("GET /v1/members", pl.faulty(pl.listMembers))
+	mux.HandleFunc("POST /v1/tx", pl.faulty(pl.commit))
+	mux.HandleFunc("GET /v1/object/{key}", pl.faulty(pl.getObject))
+	mux.HandleFunc("PUT /v1/object/{key}", pl.faulty(pl.putObject))
+	mux.HandleFunc("POST /v1/instance/{id}/{action}", pl.faulty(pl.act))
+	mux.HandleFunc("PUT /control/faults", pl.setFaults)
+	mux.HandleFunc("PUT /control/members", pl.setMembers)
+	mux.HandleFunc("GET /control/counts", pl.getCounts)
+	mux.HandleFunc("GET /control/table/{table}", pl.dump)
+	mux.HandleFunc("POST /control/tx", pl.commitHealthy)
+	return mux
+}
+
+// faulty applies the faults that concern every call.
+func (pl *Platform) faulty(next http.HandlerFunc) http.HandlerFunc {
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		pl.mu.Lock()
+		fs := pl.faults
+		pl.mu.Unlock()
+		if fs.DelayMs > 0 {
+			time.Sleep(time.Duration(fs.DelayMs) * time.Millisecond)
+		}
+		if fs.Silent {
+			<-rq.Context().Done()
+			abort()
+		}
+		if fs.Down {
+			http.Error(wr, "down", http.StatusServiceUnavailable)
+			return
+		}
+		next(wr, rq)
+	}
+}
+
+func (pl *Platform) get(wr http.ResponseWriter, rq *http.Request) {
+	pl.mu.Lock()
+	pl.counts.Reads++
+	rw, ok := pl.rows[platform.RowKey{Table: platform.TableName(rq.PathValue("table")), Key: rq.PathValue("key")}]
+	pl.mu.Unlock()
+	if !ok || rw.Deleted {
+		http.Error(wr, "absent", http.StatusNotFound)
+		return
+	}
+	writeJSON(wr, http.StatusOK, rw)
+}
+
+func (pl *Platform) changes(wr http.ResponseWriter, rq *http.Request) {
+	since, err := strconv.ParseUint(rq.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		http.Error(wr, "since must be a version", http.StatusBadRequest)
+		return
+	}
+	tables := strings.Split(rq.URL.Query().Get("tables"), ",")
+	pl.mu.Lock()
+	pl.counts.Reads++
+	upTo := pl.version
+	if pl.faults.StaleFeed != 0 {
+		upTo = pl.faults.StaleFeed
+	}
+	cs := platform.Changes{Version: upTo}
+	for key, rw := range pl.rows {
+		if rw.Version > platform.Version(since) && rw.Version <= upTo && slices.Contains(tables, string(key.Table)) {
+			cs.Rows = append(cs.Rows, rw)
+		}
+	}
+	pl.mu.Unlock()
+	sort.Slice(cs.Rows, func(ix, jx int) bool { return cs.Rows[ix].Version < cs.Rows[jx].Version })
+	writeJSON(wr, http.StatusOK, cs)
+}
+
+func (pl *Platform) listMembers(wr http.ResponseWriter, _ *http.Request) {
+	pl.mu.Lock()
+	pl.counts.Reads++
+	members := pl.members
+	if pl.faults.StaleMembers {
+		members = pl.stale
+	}
+	pl.mu.Unlock()
+	writeJSON(wr, http.StatusOK, members)
+}
+
+func (pl *Platform) commit(wr http.ResponseWriter, rq *http.Request) {
+	var tx platform.Tx
+	if !readJSON(wr, rq, &tx) {
+		return
+	}
+	pl.mu.Lock()
+	pl.counts.Writes++
+	pl.counts.Rows += int64(len(tx.Writes))
+	late, lost := pl.faults.LateWrites > 0, pl.faults.LoseAnswers > 0
+	if late {
+		pl.faults.LateWrites--
+		delay := time.Duration(pl.faults.LateMs) * time.Millisecond
+		pl.mu.Unlock()
+		time.AfterFunc(delay, func() {
+			pl.mu.Lock()
+			defer pl.mu.Unlock()
+			pl.apply(tx)
+		})
+		abort()
+	}
+	status, result := pl.apply(tx)
+	if lost {
+		pl.faults.LoseAnswers--
+	}
+	pl.mu.Unlock()
+	if lost {
+		abort()
+	}
+	writeJSON(wr, status, result)
+}
+
+// commitHealthy changes rows whatever faults are switched on, for tests that prepare a case.
+func (pl *Platform) commitHealthy(wr http.ResponseWriter, rq *http.Request) {
+	var tx platform.Tx
+	if !readJSON(wr, rq, &tx) {
+		return
+	}
+	pl.mu.Lock()
+	status, result := pl.apply(tx)
+	pl.mu.Unlock()
+	writeJSON(wr, status, result)
+}
+
+// apply checks every condition and writes all rows or none; the lock is held.
+func (pl *Platform) apply(tx platform.Tx) (int, platform.Changes) {
+	var conflicts []platform.Row
+	for _, wt := range tx.Writes {
+		key := platform.RowKey{Table: wt.Table, Key: wt.Key}
+		rw := pl.rows[key]
+		version := rw.Version
+		if rw.Deleted && wt.IfVersion == 0 {
+			version = 0
+		}
+		if version != wt.IfVersion {
+			rw.Table, rw.Key = wt.Table, wt.Key
+			conflicts = append(conflicts, rw)
+		}
+	}
+	if len(conflicts) > 0 {
+		pl.counts.Conflicts++
+		return http.StatusConflict, platform.Changes{Version: pl.version, Rows: conflicts}
+	}
+	pl.version++
+	for _, wt := range tx.Writes {
+		if wt.Check {
+			continue
+		}
+		rw := platform.Row{Table: wt.Table, Key: wt.Key, Version: pl.version, Value: wt.Value, Deleted: wt.Delete}
+		pl.rows[platform.RowKey{Table: wt.Table, Key: wt.Key}] = rw
+	}
+	return http.StatusOK, platform.Changes{Version: pl.version}
+}
+
+func (pl *Platform) getObject(wr http.ResponseWriter, rq *http.Request) {
+	pl.mu.Lock()
+	pl.counts.Reads++
+	raw, ok := pl.objects[rq.PathValue("key")]
+	pl.mu.Unlock()
+	if !ok {
+		http.Error(wr, "absent", http.StatusNotFound)
+		return
+	}
+	// The other side may be gone; there is nobody else to tell.
+	_, _ = wr.Write(raw)
+}
+
+func (pl *Platform) putObject(wr http.ResponseWriter, rq *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(wr, rq.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(wr, err.Error(), http.StatusBadRequest)
+		return
+	}
+	pl.mu.Lock()
+	pl.counts.Writes++
+	pl.objects[rq.PathValue("key")] = raw
+	pl.mu.Unlock()
+	wr.WriteHeader(http.StatusNoContent)
+}
+
+// act carries out a drain, stop, reboot or start of an instance once for each step id.
+func (pl *Platform) act(wr http.ResponseWriter, rq *http.Request) {
+	step := rq.URL.Query().Get("step")
+	if step == "" {
+		http.Error(wr, "step is required", http.StatusBadRequest)
+		return
+	}
+	pl.mu.Lock()
+	pl.counts.Writes++
+	if !pl.steps[step] {
+		pl.steps[step] = true
+		pl.counts.Actions[rq.PathValue("action")+" "+rq.PathValue("id")]++
+	}
+	pl.mu.Unlock()
+	wr.WriteHeader(http.StatusNoContent)
+}
+
+func (pl *Platform) setFaults(wr http.ResponseWriter, rq *http.Request) {
+	var fs PlatformFaults
+	if !readJSON(wr, rq, &fs) {
+		return
+	}
+	pl.mu.Lock()
+	if fs.StaleMembers && !pl.faults.StaleMembers {
+		pl.stale = slices.Clone(pl.members)
+	}
+	pl.faults = fs
+	pl.mu.Unlock()
+	wr.WriteHeader(http.StatusNoContent)
+}
+
+func (pl *Platform) setMembers(wr http.ResponseWriter, rq *http.Request) {
+	var members []platform.Member
+	if !readJSON(wr, rq, &members) {
+		return
+	}
+	pl.mu.Lock()
+	pl.members = members
+	pl.mu.Unlock()
+	wr.WriteHeader(http.StatusNoContent)
+}
+
+func (pl *Platform) getCounts(wr http.ResponseWriter, _ *http.Request) {
+	pl.mu.Lock()
+	counts := pl.counts
+	counts.Version = pl.version
+	raw, err := json.Marshal(counts)
+	pl.mu.Unlock()
+	if err != nil {
+		http.Error(wr, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	// The other side may be gone; there is nobody else to tell.
+	_, _ = wr.Write(raw)
+}
+
+// dump returns all rows of a table, deleted ones left out.
+func (pl *Platform) dump(wr http.ResponseWriter, rq *http.Request) {
+	pl.mu.Lock()
+	rows := []platform.Row{}
+	for key, rw := range pl.rows {
+		if string(key.Table) == rq.PathValue("table") && !rw.Deleted {
+			rows = append(rows, rw)
+		}
+	}
+	pl.mu.Unlock()
+	sort.Slice(rows, func(ix, jx int) bool { return rows[ix].Key < rows[jx].Key })
+	writeJSON(wr, http.StatusOK, rows)
+}
