Proofs of the request path: unrepeatable requests, whole answers, sessions, routing, stop and start

Cause: the thin path's promises had no proof under failure. Change: tests that kill, freeze and cut real processes and count executions at the endpoints. The relay before an endpoint refuses connections once the endpoint is dead; before that the test of a lost endpoint failed, since the relay accepted and then closed ('session of w2 served at map[]'), which is rightly taken for a break and not for a refusal.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -211,6 +211,12 @@
 	control(fl.t, http.MethodPut, fl.store, "/control/members", members, nil)
 }
 
+// kill ends the process; its port refuses connections from then on, as the relay before it does.
+func (ep *endpointProcess) kill() {
+	ep.process.kill()
+	_ = ep.inbound.ln.Close()
+}
+
 func (ep *endpointProcess) fail(fs standin.EndpointFaults) {
 	ep.t.Helper()
 	control(ep.t, http.MethodPut, ep.address, "/control/faults", fs, nil)
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -296,4 +296,3 @@
 func deadline(after time.Duration) string {
 	return fmt.Sprint(time.Now().Add(after).UnixMilli())
 }
-
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -223,7 +223,9 @@
 		return
 	}
 	wr.Header().Set("Content-Type", "application/json")
-	wr.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	if rq.URL.Query().Get("chunked") == "" {
+		wr.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	}
 	if fs.BreakMid || rq.URL.Query().Get("break") == "mid" {
 		// The half answer must leave before the cut, or the other side sees no answer at all.
 		_, _ = wr.Write(raw[:len(raw)/2])
