--- a/endpoint/acquire.go
+++ b/endpoint/acquire.go
@@ -16,6 +16,10 @@
 	leastRetryAfter = 50 * time.Millisecond
 	// sessionMoveWait is how long a request waits for the successor of its session's endpoint.
 	sessionMoveWait = time.Second
+	// deviations times the mean deviation above the mean is where nearly all latencies lie below.
+	deviations = 4
+	// queueShare is the part of a request's spare time that it may stand in the queue.
+	queueShare = 0.5
 )
 
 // place is one acquired slot of an endpoint.
@@ -138,31 +142,56 @@
 	if waiting >= rt.opts.QueueLength {
 		return true
 	}
+	pc := rt.pace(ro)
 	left := call.Deadline.Sub(rt.opts.Now())
-	return rt.expectedWait(ro, waiting+1) > left
+	return pc.wait(waiting+1) > time.Duration(queueShare*float64(left-pc.needed()))
 }
 
-// expectedWait returns how long the last of so many waiting requests waits and runs.
-func (rt *Router) expectedWait(ro *route, waiting int) time.Duration {
-	slots, latency, known := 0, 0.0, 0
+// pace is how fast the endpoints of a service work.
+type pace struct {
+	slots int
+	// mean and deviation describe the time from sending to the answer; 0 while unknown.
+	mean      time.Duration
+	deviation time.Duration
+}
+
+// wait returns how long the last of so many waiting requests waits for a slot.
+func (pc pace) wait(waiting int) time.Duration {
+	if pc.slots == 0 {
+		return 0
+	}
+	return time.Duration(float64(pc.mean) * float64(waiting) / float64(pc.slots))
+}
+
+// needed returns the time in which nearly all requests are answered once they are sent.
+func (pc pace) needed() time.Duration {
+	return pc.mean + deviations*pc.deviation
+}
+
+// pace returns how fast the endpoints that may get work answer.
+func (rt *Router) pace(ro *route) pace {
+	var pc pace
+	var mean, deviation float64
+	known := 0
 	now := rt.opts.Now()
 	for _, st := range ro.states {
 		if !st.mayGetWork(now) {
 			continue
 		}
 		if st.health.standing(now) == StandingOpen {
-			slots += st.limit.value(ro.share)
+			pc.slots += st.limit.value(ro.share)
 		}
 		if vl := st.health.latency.value(); vl > 0 {
-			latency += vl
+			mean += vl
+			deviation += st.health.deviation.value()
 			known++
 		}
 	}
-	if known == 0 || slots == 0 {
-		return 0
+	if known > 0 {
+		pc.mean = time.Duration(mean / float64(known))
+		pc.deviation = time.Duration(deviation / float64(known))
 	}
-	mean := latency / float64(known)
-	return time.Duration(mean * (float64(waiting)/float64(slots) + 1))
+	return pc
 }
 
 // retryAfter returns when coming back helps, spread so that callers do not come back together.
@@ -171,7 +200,8 @@
 	if ro == nil {
 		return 0
 	}
-	wait := max(rt.expectedWait(ro, int(ro.queue.length.Load())+1), leastRetryAfter)
+	pc := rt.pace(ro)
+	wait := max(pc.wait(int(ro.queue.length.Load())+1)+pc.mean, leastRetryAfter)
 	return wait + time.Duration(rt.opts.Random(int(wait)))
 }
 
@@ -215,7 +245,7 @@
 	if err == ErrSessionMoving && now.Sub(began) >= sessionMoveWait {
 		return true
 	}
-	return call.Deadline.Sub(now) <= rt.usualLatency(ro)
+	return call.Deadline.Sub(now) <= rt.pace(ro).needed()
 }
 
 func (rt *Router) countQueued(id platform.InstanceID, delta int32) {
--- /dev/null
+++ b/endpoint/bed_test.go
@@ -0,0 +1,149 @@
+package endpoint_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/endpoint"
+	"github.com/aspenseam/aspenseam/platform"
+	"github.com/aspenseam/aspenseam/standin"
+)
+
+// bed is routers and endpoints in one process, joined by in-memory connections, so that a test's clock can be a synthetic one.
+type bed struct {
+	t         testing.TB
+	listeners map[string]*pipeListener
+	servers   []*http.Server
+	endpoints []*standin.Endpoint
+	snapshot  *platform.Snapshot
+	random    func(int) int
+}
+
+// pipeListener accepts in-memory connections.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (pl *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-pl.conns:
+		return conn, nil
+	case <-pl.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (pl *pipeListener) Close() error {
+	pl.once.Do(func() { close(pl.done) })
+	return nil
+}
+
+func (pl *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+const bedService platform.ServiceID = "books"
+
+// newBed returns a bed with so many endpoints of eight slots, all in one hall, and one live entry instance for each router to come.
+func newBed(t testing.TB, endpoints, entries int, work time.Duration) *bed {
+	t.Helper()
+	bd := &bed{t: t, listeners: map[string]*pipeListener{}, random: seeded()}
+	seed := []any{platform.Service{ID: bedService, Slots: 8, Connections: 64, Echo: true, Asked: endpoints, Budget: 1}}
+	var members []platform.Member
+	for ix := range endpoints {
+		id := platform.InstanceID(fmt.Sprintf("w%d", ix+1))
+		address := fmt.Sprintf("10.0.0.%d:80", ix+1)
+		ep := standin.NewEndpoint(id, 0, work)
+		ln := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+		srv := &http.Server{Handler: ep.Handler()}
+		go func() { _ = srv.Serve(ln) }()
+		bd.listeners[address] = ln
+		bd.servers, bd.endpoints = append(bd.servers, srv), append(bd.endpoints, ep)
+		seed = append(seed, platform.Instance{ID: id, Hall: "hall1", Address: address, State: platform.InstanceServing, Epoch: 1, Services: []platform.ServiceID{bedService}})
+		members = append(members, platform.Member{ID: id, Role: platform.RoleWorker, State: platform.MemberLive})
+	}
+	for ix := range entries {
+		members = append(members, platform.Member{ID: platform.InstanceID(fmt.Sprintf("e%d", ix+1)), Role: platform.RoleEntry, State: platform.MemberLive, Hall: "hall1"})
+	}
+	bd.snapshot, _ = platform.EmptySnapshot().Merge(rowsOf(t, seed))
+	bd.snapshot = bd.snapshot.WithMembers(members)
+	return bd
+}
+
+// seeded returns a random source that gives the same numbers in every run.
+func seeded() func(int) int {
+	var mu sync.Mutex
+	rnd := rand.New(rand.NewPCG(1, 2))
+	return func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return rnd.IntN(n)
+	}
+}
+
+func rowsOf(t testing.TB, values []any) []platform.Row {
+	t.Helper()
+	var rows []platform.Row
+	for ix, value := range values {
+		raw, err := platform.Encode(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rw := platform.Row{Version: platform.Version(ix + 1), Value: raw}
+		switch vl := value.(type) {
+		case platform.Service:
+			rw.Table, rw.Key = platform.TableService, string(vl.ID)
+		case platform.Instance:
+			rw.Table, rw.Key = platform.TableInstance, string(vl.ID)
+		}
+		rows = append(rows, rw)
+	}
+	return rows
+}
+
+// dial connects in memory.
+func (bd *bed) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	ln := bd.listeners[address]
+	if ln == nil {
+		return nil, errors.New("no such address")
+	}
+	near, far := net.Pipe()
+	select {
+	case ln.conns <- far:
+		return near, nil
+	case <-ln.done:
+		return nil, &net.OpError{Op: "dial", Err: errors.New("closed")}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// router returns a router that knows the bed's endpoints.
+func (bd *bed) router(options ...endpoint.Option) *endpoint.Router {
+	options = append([]endpoint.Option{endpoint.WithHall("hall1"), endpoint.WithDial(bd.dial), endpoint.WithRandom(bd.random)}, options...)
+	rt := endpoint.NewRouter(options...)
+	rt.Update(bd.snapshot)
+	return rt
+}
+
+// close ends every connection.
+func (bd *bed) close(routers ...*endpoint.Router) {
+	for _, rt := range routers {
+		rt.Update(platform.EmptySnapshot())
+	}
+	for _, srv := range bd.servers {
+		_ = srv.Close()
+	}
+}
+
+// call returns a repeatable request with a deadline from now.
+func call(within time.Duration) *endpoint.Call {
+	return &endpoint.Call{Service: bedService, RequestID: "r", Method: http.MethodGet, Target: "/", Header: http.Header{}, Repeatable: true, Deadline: time.Now().Add(within)}
+}
--- a/endpoint/do.go
+++ b/endpoint/do.go
@@ -171,26 +171,11 @@
 
 // silenceDelay returns after which silence counts against an endpoint and a repeatable request is tried elsewhere.
 func (rn *run) silenceDelay() time.Duration {
-	usual := rn.rt.usualLatency(rn.last.ro)
-	if usual == 0 {
+	pc := rn.rt.pace(rn.last.ro)
+	if pc.mean == 0 {
 		return firstSilence
 	}
-	return max(silenceFactor*usual, leastSilence)
-}
-
-// usualLatency returns the mean latency of a service's endpoints, 0 if none is known.
-func (rt *Router) usualLatency(ro *route) time.Duration {
-	sum, known := 0.0, 0
-	for _, st := range ro.states {
-		if vl := st.health.latency.value(); vl > 0 {
-			sum += vl
-			known++
-		}
-	}
-	if known == 0 {
-		return 0
-	}
-	return time.Duration(sum / float64(known))
+	return max(silenceFactor*pc.mean, pc.needed(), leastSilence)
 }
 
 // silent counts silence against the endpoint and tries a repeatable request elsewhere, without waiting for a slot.
--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -33,6 +33,8 @@
 type health struct {
 	success   average
 	latency   average
+	// deviation is the mean distance of a latency from the average.
+	deviation average
 	failures  atomic.Int32
 	level     atomic.Int32
 	until     atomic.Int64 // nanoseconds since 1970
@@ -82,7 +84,11 @@
 // succeed notes a good answer and reports whether it ended an ejection.
 func (hl *health) succeed(took time.Duration) bool {
 	hl.success.add(1, successWeight)
+	usual := hl.latency.value()
 	hl.latency.add(float64(took), latencyWeight)
+	if usual > 0 {
+		hl.deviation.add(math.Abs(float64(took)-usual), latencyWeight)
+	}
 	hl.failures.Store(0)
 	hl.trialling.Store(false)
 	return hl.level.Swap(0) > 0
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/aspenseam/aspenseam/endpoint"
@@ -37,6 +38,8 @@
 	Stale bool `json:"stale"`
 	// NoLength sends answers that end with the connection.
 	NoLength bool `json:"noLength"`
+	// Backlog is how many requests wait for a slot before others are refused as full.
+	Backlog int `json:"backlog"`
 }
 
 // Execution is what an endpoint says about a request in its answer.
@@ -76,13 +79,15 @@
 
 // Endpoint is a service instance that counts what it runs.
 type Endpoint struct {
-	id     platform.InstanceID
-	slots  chan struct{}
-	mu     sync.Mutex
-	faults EndpointFaults
-	counts EndpointCounts
-	conns  int
-	last   map[string]string // attempt id by connection
+	id    platform.InstanceID
+	slots chan struct{}
+	// waiting counts requests that wait for a slot.
+	waiting atomic.Int32
+	mu      sync.Mutex
+	faults  EndpointFaults
+	counts  EndpointCounts
+	conns   int
+	last    map[string]string // attempt id by connection
 }
 
 // NewEndpoint returns a healthy endpoint with so many slots; 0 takes the usual eight.
@@ -139,9 +144,7 @@
 		http.Error(wr, "failed", fs.Status)
 		return
 	}
-	select {
-	case ep.slots <- struct{}{}:
-	default:
+	if !ep.enter(fs) {
 		ep.refuse(wr, endpoint.RefusedFull)
 		return
 	}
@@ -150,6 +153,22 @@
 	ep.answer(wr, rq, fs, ex)
 }
 
+// enter takes a slot, waiting for one if the backlog has room.
+func (ep *Endpoint) enter(fs EndpointFaults) bool {
+	select {
+	case ep.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if int(ep.waiting.Add(1)) > fs.Backlog {
+		ep.waiting.Add(-1)
+		return false
+	}
+	ep.slots <- struct{}{}
+	ep.waiting.Add(-1)
+	return true
+}
+
 // attemptToEcho returns the attempt id for the answer; a stale one is that of the request before on the connection.
 func (ep *Endpoint) attemptToEcho(rq *http.Request, fs EndpointFaults) string {
 	attempt := rq.Header.Get(endpoint.HeaderAttempt)
@@ -249,14 +268,28 @@
 	_ = buf.Flush()
 }
 
+// Switch sets the faults.
+func (ep *Endpoint) Switch(fs EndpointFaults) {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	ep.faults = fs
+}
+
+// Counts returns a copy of what ran, without the maps.
+func (ep *Endpoint) Counts() EndpointCounts {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	counts := ep.counts
+	counts.Executions, counts.Sessions = nil, nil
+	return counts
+}
+
 func (ep *Endpoint) setFaults(wr http.ResponseWriter, rq *http.Request) {
 	var fs EndpointFaults
 	if !readJSON(wr, rq, &fs) {
 		return
 	}
-	ep.mu.Lock()
-	ep.faults = fs
-	ep.mu.Unlock()
+	ep.Switch(fs)
 	wr.WriteHeader(http.StatusNoContent)
 }
 
