--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -31,8 +31,8 @@
 
 // health judges one endpoint by the ends of its attempts.
 type health struct {
-	success   average
-	latency   average
+	success average
+	latency average
 	// deviation is the mean distance of a latency from the average.
 	deviation average
 	failures  atomic.Int32
--- /dev/null
+++ b/endpoint/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package endpoint_test
+
+const raceEnabled = false
--- a/endpoint/trace_test.go
+++ b/endpoint/trace_test.go
@@ -252,4 +252,3 @@
 	}
 	return fmt.Sprintf("%d of %d", admitted, count)
 }
-
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -115,10 +115,43 @@
 }
 
 func (fl *fleet) startEndpoint(ep *endpointProcess) {
-	ep.process = startProcess(fl.t, fl.dir, string(ep.id), "standin-endpoint", "--address", ep.address, "--id", string(ep.id), "--work", fmt.Sprintf("%dms", ep.sp.workMs))
+	ep.process = startProcess(fl.t, fl.dir, string(ep.id), "standin-endpoint", "--address", ep.address, "--id", string(ep.id), "--work", fmt.Sprintf("%dms", ep.sp.workMs), "--journal", fl.journal(ep))
 	fl.awaitListening(ep.address)
 }
 
+// journal is the file in which an endpoint notes what it runs; it outlives the process.
+func (fl *fleet) journal(ep *endpointProcess) string {
+	return filepath.Join(fl.dir, string(ep.id)+".journal")
+}
+
+// restart starts a killed endpoint again, at the same address.
+func (fl *fleet) restart(ep *endpointProcess) {
+	fl.startEndpoint(ep)
+	ep.inbound.open(fl.t)
+}
+
+// journals returns every execution of all endpoints, living or dead.
+func (fl *fleet) journals() []standin.Execution {
+	fl.t.Helper()
+	var all []standin.Execution
+	for _, ep := range fl.endpoints {
+		file, err := os.Open(fl.journal(ep))
+		if err != nil {
+			fl.t.Fatal(err)
+		}
+		dec := json.NewDecoder(file)
+		for {
+			var ex standin.Execution
+			if err := dec.Decode(&ex); err != nil {
+				break
+			}
+			all = append(all, ex)
+		}
+		_ = file.Close()
+	}
+	return all
+}
+
 func (fl *fleet) awaitListening(address string) {
 	fl.t.Helper()
 	eventually(fl.t, "listening on "+address, func() bool {
@@ -214,7 +247,7 @@
 // kill ends the process; its port refuses connections from then on, as the relay before it does.
 func (ep *endpointProcess) kill() {
 	ep.process.kill()
-	_ = ep.inbound.ln.Close()
+	ep.inbound.close()
 }
 
 func (ep *endpointProcess) fail(fs standin.EndpointFaults) {
@@ -229,15 +262,13 @@
 	return counts
 }
 
-// executions counts over all living endpoints how often a request ran.
+// executions counts over all endpoints, living or dead, how often a request ran.
 func (fl *fleet) executions(id string) int {
 	fl.t.Helper()
 	count := 0
-	for _, ep := range fl.endpoints {
-		select {
-		case <-ep.done:
-		default:
-			count += ep.counts().Executions[id]
+	for _, ex := range fl.journals() {
+		if ex.RequestID == id {
+			count++
 		}
 	}
 	return count
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -152,12 +152,16 @@
 	}
 }
 
-func (ps *process) printLog() {
+func (ps *process) readLog() string {
 	raw, err := os.ReadFile(ps.log.Name())
 	if err != nil {
-		return
+		return ""
 	}
-	lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
+	return strings.TrimSpace(string(raw))
+}
+
+func (ps *process) printLog() {
+	lines := strings.Split(ps.readLog(), "\n")
 	if len(lines) > 30 {
 		lines = lines[len(lines)-30:]
 	}
--- a/proof/relay_test.go
+++ b/proof/relay_test.go
@@ -10,6 +10,7 @@
 // relay stands before a listener and can cut off some of those who connect to it.
 type relay struct {
 	target string
+	listen string
 	ln     net.Listener
 	mu     sync.Mutex
 	// cut holds the source IPs that are cut off; "" cuts all.
@@ -19,24 +20,34 @@
 
 func newRelay(t *testing.T, target string) *relay {
 	t.Helper()
-	ln, err := net.Listen("tcp", freeAddress(t, "127.0.0.1"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	rl := &relay{target: target, ln: ln, cut: map[string]bool{}, conns: map[net.Conn]string{}}
-	go rl.run()
+	rl := &relay{target: target, listen: freeAddress(t, "127.0.0.1"), cut: map[string]bool{}, conns: map[net.Conn]string{}}
+	rl.open(t)
 	t.Cleanup(func() {
-		_ = ln.Close()
+		rl.close()
 		rl.set("", true)
 	})
 	return rl
 }
 
-func (rl *relay) address() string { return rl.ln.Addr().String() }
+// open accepts connections, again if it was closed.
+func (rl *relay) open(t *testing.T) {
+	t.Helper()
+	ln, err := net.Listen("tcp", rl.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rl.ln = ln
+	go rl.run(ln)
+}
+
+// close refuses connections, as the port of a dead process does.
+func (rl *relay) close() { _ = rl.ln.Close() }
+
+func (rl *relay) address() string { return rl.listen }
 
-func (rl *relay) run() {
+func (rl *relay) run(ln net.Listener) {
 	for {
-		conn, err := rl.ln.Accept()
+		conn, err := ln.Accept()
 		if err != nil {
 			return
 		}
--- a/proof/session_test.go
+++ b/proof/session_test.go
@@ -230,4 +230,3 @@
 	wantOutcome(t, send(fl.entries[2].callers, unrepeatable("cut")), "answered")
 	fl.wantRuns("cut", 1)
 }
-
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -88,6 +88,8 @@
 	counts  EndpointCounts
 	conns   int
 	last    map[string]string // attempt id by connection
+	// journal gets a line for each execution before it begins, which outlives the process; nil without one.
+	journal io.Writer
 }
 
 // NewEndpoint returns a healthy endpoint with so many slots; 0 takes the usual eight.
@@ -101,6 +103,26 @@
 	return ep
 }
 
+// SetJournal names where each execution is noted before it begins, as a line of JSON.
+func (ep *Endpoint) SetJournal(journal io.Writer) {
+	ep.journal = journal
+}
+
+// note writes an execution to the journal.
+func (ep *Endpoint) note(ex Execution) {
+	if ep.journal == nil {
+		return
+	}
+	raw, err := json.Marshal(ex)
+	if err == nil {
+		_, err = ep.journal.Write(append(raw, '\n'))
+	}
+	if err != nil {
+		// An execution that cannot be noted must not happen, or the count would be false.
+		abort()
+	}
+}
+
 // Handler returns the service, and its switches below /control/.
 func (ep *Endpoint) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -204,6 +226,7 @@
 		ex.Count = ep.counts.Sessions[ex.Session]
 	}
 	ep.mu.Unlock()
+	ep.note(ex)
 	time.Sleep(workTime(rq, fs))
 	ep.mu.Lock()
 	ep.counts.Open--
--- a/standins.go
+++ b/standins.go
@@ -52,15 +52,24 @@
 func standinEndpointCommand() command {
 	sub := flaggy.NewSubcommand("standin-endpoint")
 	sub.Description = "Run a stand-in of an endpoint, for trying out and for tests."
-	var address, id string
+	var address, id, journal string
 	slots := 0
 	var work time.Duration
 	sub.String(&address, "a", "address", "IP:port to listen on")
 	sub.String(&id, "i", "id", "instance id")
+	sub.String(&journal, "j", "journal", "file to which each execution is appended before it begins")
 	sub.Int(&slots, "n", "slots", "requests worked on at a time")
 	sub.Duration(&work, "w", "work", "time that each request takes")
 	return command{sub, func(ctx context.Context) error {
 		ep := standin.NewEndpoint(platform.InstanceID(id), slots, work)
+		if journal != "" {
+			file, err := os.OpenFile(journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+			if err != nil {
+				return eris.Wrap(err, "open journal")
+			}
+			defer func() { _ = file.Close() }()
+			ep.SetJournal(file)
+		}
 		return standin.Serve(ctx, address, ep.Handler(), func(srv *http.Server) { srv.ConnState = ep.ConnState })
 	}}
 }
