--- a/caller/server.go
+++ b/caller/server.go
@@ -183,6 +183,7 @@
 	call := &endpoint.Call{Service: req.Service, RequestID: string(req.ID), Method: req.Method, Target: req.Target, Host: req.Host, Header: forwarded(req.Header), Body: req.Body, Deadline: req.Deadline, Pin: req.Session.pin()}
 	if req.Session != nil {
 		call.SessionID = req.Session.ID
+		call.NewSession = call.Pin == nil
 	}
 	return call
 }
--- a/endpoint/acquire.go
+++ b/endpoint/acquire.go
@@ -68,7 +68,7 @@
 	var stateArray [maxLoads]*state
 	loads, states := loadArray[:0], stateArray[:0]
 	for _, st := range ro.states {
-		if st.mayGetWork(now) {
+		if st.mayGetWork(now) && !(call.NewSession && st.instance.Load().Closing()) {
 			loads = append(loads, rt.load(st, ro.share, now, tried))
 			states = append(states, st)
 		}
@@ -82,7 +82,7 @@
 // take acquires the picked endpoint; a pick that others overtook is made again.
 func (rt *Router) take(ro *route, loads []Load, states []*state, repeatable bool) (place, error) {
 	for range len(loads) {
-		choice := Pick(loads, repeatable, rt.opts.Eject.ShareMax, rt.opts.Random)
+		choice := Pick(loads, repeatable, rt.eject.Load().ShareMax, rt.opts.Random)
 		if choice.Index < 0 {
 			return place{}, ErrOverload
 		}
@@ -91,7 +91,7 @@
 			loads[choice.Index].Standing = StandingEjected
 			continue
 		}
-		if st.limit.acquire(ro.share) {
+		if st.limit.acquire(ro.share) && rt.stillMay(st) {
 			return place{st: st, ro: ro, epoch: st.instance.Load().Epoch, trial: choice.Trial}, nil
 		}
 		if choice.Trial {
@@ -102,6 +102,16 @@
 	return place{}, ErrOverload
 }
 
+// stillMay looks again after a place was taken, and gives it back if the endpoint began to leave in between.
+// Whoever acknowledges the leaving first stops new work and then counts the places, so one of the two sees the other.
+func (rt *Router) stillMay(st *state) bool {
+	if st.mayGetWork(rt.opts.Now()) {
+		return true
+	}
+	st.limit.release()
+	return false
+}
+
 // acquirePinned takes a slot of the session's endpoint.
 func (rt *Router) acquirePinned(tb *table, ro *route, call *Call) (place, error) {
 	id, err := call.Pin(tb.snapshot)
@@ -124,6 +134,9 @@
 	if !st.limit.acquire(ro.share) {
 		return place{}, ErrOverload
 	}
+	if !rt.stillMay(st) {
+		return place{}, ErrSessionMoving
+	}
 	return place{st: st, ro: ro, epoch: st.instance.Load().Epoch}, nil
 }
 
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -266,7 +266,7 @@
 }
 
 func (rt *Router) learnFailure(st *state, cause error) {
-	if st.health.fail(rt.opts.Now(), rt.opts.Eject) {
+	if st.health.fail(rt.opts.Now(), *rt.eject.Load()) {
 		rt.opts.Log.Emit(event.EndpointEjected, zap.String("endpoint", string(st.id)), zap.NamedError("cause", cause))
 	}
 }
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -67,6 +67,8 @@
 	Repeatable bool
 	// SessionID is the stable id passed to the endpoint; empty without a session.
 	SessionID string
+	// NewSession keeps the call away from endpoints that take no new sessions.
+	NewSession bool
 	// Pin returns the endpoint that the session is bound to; nil without a session.
 	Pin func(*platform.Snapshot) (platform.InstanceID, error)
 	// Deadline is when the caller stops waiting.
--- a/endpoint/retry.go
+++ b/endpoint/retry.go
@@ -8,12 +8,13 @@
 // retryBudget lets retries be a share of traffic; requests earn and retries spend.
 type retryBudget struct {
 	balance atomic.Int64
-	earn    int64
+	earn    atomic.Int64
 	most    int64
 }
 
 func newRetryBudget(policy RetryPolicy) *retryBudget {
-	rb := &retryBudget{earn: int64(policy.Share * retryUnit), most: int64(policy.Burst) * retryUnit}
+	rb := &retryBudget{most: int64(policy.Burst) * retryUnit}
+	rb.earn.Store(int64(policy.Share * retryUnit))
 	rb.balance.Store(rb.most)
 	return rb
 }
@@ -22,7 +23,7 @@
 func (rb *retryBudget) earned() {
 	for {
 		before := rb.balance.Load()
-		next := min(before+rb.earn, rb.most)
+		next := min(before+rb.earn.Load(), rb.most)
 		if before == next || rb.balance.CompareAndSwap(before, next) {
 			return
 		}
--- a/endpoint/router.go
+++ b/endpoint/router.go
@@ -27,6 +27,7 @@
 	mu     sync.Mutex // held while routes are replaced
 	fresh  *http.Transport
 	budget *retryBudget
+	eject  atomic.Pointer[EjectPolicy]
 	// Attempts counts attempts that were begun.
 	Attempts atomic.Int64
 	// Calls counts calls to Do.
@@ -79,6 +80,7 @@
 		opts.Dial = (&net.Dialer{Timeout: opts.DialTimeout}).DialContext
 	}
 	rt := &Router{opts: opts, budget: newRetryBudget(opts.Retry)}
+	rt.eject.Store(&opts.Eject)
 	rt.fresh = rt.transport()
 	rt.fresh.DisableKeepAlives = true
 	rt.routes.Store(&table{snapshot: platform.EmptySnapshot(), services: map[platform.ServiceID]*route{}, states: map[platform.InstanceID]*state{}})
@@ -95,6 +97,14 @@
 	}
 }
 
+// SetPolicy changes how many retries are earned and when endpoints are ejected, while calls go on.
+func (rt *Router) SetPolicy(retryShare float64, ejectAfter int, ejectShareMax float64) {
+	rt.budget.earn.Store(int64(retryShare * retryUnit))
+	policy := rt.opts.Eject
+	policy.After, policy.ShareMax = ejectAfter, ejectShareMax
+	rt.eject.Store(&policy)
+}
+
 // Snapshot returns the snapshot that the routes were made from.
 func (rt *Router) Snapshot() *platform.Snapshot {
 	return rt.routes.Load().snapshot
--- a/entry.go
+++ b/entry.go
@@ -29,6 +29,8 @@
 	stopMargin = 5 * time.Second
 	// moveTimeout bounds the agreement on successors of a lost endpoint.
 	moveTimeout = 5 * time.Second
+	// listeners are those for callers, peers and operators.
+	listeners = 3
 )
 
 // entry is one entry instance with all its parts.
@@ -43,6 +45,8 @@
 	peers       *peer.Client
 	peerServer  *peer.Server
 	operators   *operator.Server
+	executor    *operator.Executor
+	keeper      *operator.Keeper
 	registry    metrics.Registry
 	background  context.Context
 	servers     []*http.Server
@@ -77,11 +81,15 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	en := newEntry(background, st, lg)
+	failed := make(chan error, listeners)
+	if err := en.listenInside(failed); err != nil {
+		return err
+	}
 	go en.watcher.Run(background)
-	go en.seed(background)
 	go en.peers.Run(background)
-	failed := make(chan error, 3)
-	if err := en.listen(failed); err != nil {
+	go en.executor.Run(background)
+	en.seed(ctx)
+	if err := en.listenCallers(failed); err != nil {
 		return err
 	}
 	lg.Emit(event.ProcessStarted, zap.String("incarnation", string(en.incarnation)), zap.String("callerAddress", st.Entry.CallerAddress))
@@ -101,11 +109,20 @@
 	en.platform = platform.NewClient(platform.WithAddresses(st.Platform.Addresses...), platform.WithTimeout(st.Platform.Timeout), platform.WithDial(dialer(st, st.Platform.Timeout)))
 	en.watcher = platform.NewWatcher(en.platform, platform.WithPollInterval(st.Platform.PollInterval), platform.WithLog(lg), platform.WithOnChange(en.changed))
 	en.router = endpoint.NewRouter(routerOptions(st, lg, buffers)...)
+	en.keeper = operator.NewKeeper(lg, func(ft *settings.Fleet) { en.router.SetPolicy(ft.RetryShare, ft.EjectAfter, ft.EjectShareMax) })
 	peerOptions := en.peerOptions()
 	en.peers = peer.NewClient(en.watcher, peerOptions...)
 	en.callers = caller.NewServer(en.router, en.watcher, en.platform, en.peers, en.callerOptions(buffers)...)
-	en.peerServer = peer.NewServer(en.watcher, en.callers, en.router, peerOptions...)
-	en.operators = operator.NewServer(en.watcher, en.router,
+	en.peerServer = peer.NewServer(en.watcher, en.callers, en.router, en.keeper, peerOptions...)
+	planner := func() operator.Planner {
+		_, ft := en.keeper.InForce()
+		return operator.PlannerOf(ft)
+	}
+	desk := operator.NewDesk(en.platform, en.platform, en.watcher, planner, time.Now)
+	en.executor = operator.NewExecutor(en.platform, en.platform, en.watcher, en.peers, prober{dialer(st, st.Endpoint.DialTimeout)}, operator.ExecutorOptions{
+		Entry: platform.InstanceID(st.Entry.ID), Incarnation: en.incarnation, LongestRequest: st.Caller.LongestRequest, Log: lg,
+	})
+	en.operators = operator.NewServer(en.watcher, en.router, en.platform, desk, en.peers,
 		operator.WithEntry(platform.InstanceID(st.Entry.ID), en.incarnation, platform.HallID(st.Entry.Hall)),
 		operator.WithOperators(st.Operators), operator.WithRegistry(en.registry), operator.WithLog(lg))
 	mover := platform.NewMover(en.platform, en.watcher, st.Entry.ID)
@@ -132,6 +149,22 @@
 	return dl.DialContext
 }
 
+// prober tells whether an instance takes connections.
+type prober struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Up connects and closes.
+func (pb prober) Up(ctx context.Context, address string) bool {
+	conn, err := pb.dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	// Nothing was sent, so nothing can be lost by closing.
+	_ = conn.Close()
+	return true
+}
+
 func routerOptions(st *settings.Settings, lg *event.Logger, buffers *endpoint.Buffers) []endpoint.Option {
 	ep := st.Endpoint
 	return []endpoint.Option{
@@ -196,13 +229,18 @@
 // changed gives a new snapshot to the router, and fresh rows to the peers.
 func (en *entry) changed(cg platform.Change) {
 	en.router.Update(cg.Snapshot)
+	en.keeper.Update(cg.Snapshot)
 	if cg.Read {
 		en.peers.Push(en.background, cg.Rows)
 	}
 }
 
-// seed asks running peers for their snapshot until the platform or one of them has given one.
+// seed asks all running peers for their snapshots, and returns when the platform or one of them has given one.
+// The peers are asked even if the platform was faster, so that a stale read of it cannot bring an old configuration back.
 func (en *entry) seed(ctx context.Context) {
+	if en.peers.Start(ctx) && !en.watcher.Reached() {
+		en.log.Emit(event.SnapshotFromPeer)
+	}
 	ticker := time.NewTicker(en.st.Peer.SyncInterval)
 	defer ticker.Stop()
 	for {
@@ -211,38 +249,45 @@
 			return
 		case <-ctx.Done():
 			return
-		default:
-		}
-		if en.peers.Start(ctx) {
-			en.log.Emit(event.SnapshotFromPeer)
-			return
+		case <-ticker.C:
+			en.peers.Start(ctx)
 		}
-		<-ticker.C
 	}
 }
 
-// listen opens the three listeners and serves them; failed is told when one ends.
-func (en *entry) listen(failed chan<- error) error {
+// listenInside opens the listeners for peers and operators.
+func (en *entry) listenInside(failed chan<- error) error {
+	timeout := en.st.Caller.HeaderTimeout
+	peers := &http.Server{Handler: en.peerServer.Handler(en.peerOptions()...), ReadHeaderTimeout: timeout, ReadTimeout: timeout}
+	if err := en.serve(peers, en.st.Entry.PeerAddress, 0, failed); err != nil {
+		return err
+	}
+	operators := &http.Server{Handler: en.operators.Handler(), ReadHeaderTimeout: timeout, ReadTimeout: timeout}
+	return en.serve(operators, en.st.Entry.OperatorAddress, 0, failed)
+}
+
+// listenCallers opens the listener for callers.
+func (en *entry) listenCallers(failed chan<- error) error {
 	cs := en.st.Caller
 	callers := &http.Server{Handler: en.callers, ReadHeaderTimeout: cs.HeaderTimeout, ReadTimeout: cs.HeaderTimeout, MaxHeaderBytes: cs.HeaderBytes, IdleTimeout: time.Minute}
-	peers := &http.Server{Handler: en.peerServer.Handler(en.peerOptions()...), ReadHeaderTimeout: cs.HeaderTimeout, ReadTimeout: cs.HeaderTimeout}
-	operators := &http.Server{Handler: en.operators.Handler(), ReadHeaderTimeout: cs.HeaderTimeout, ReadTimeout: cs.HeaderTimeout}
-	en.servers = []*http.Server{callers, peers, operators}
-	addresses := []string{en.st.Entry.CallerAddress, en.st.Entry.PeerAddress, en.st.Entry.OperatorAddress}
-	for ix, srv := range en.servers {
-		ln, err := net.Listen("tcp", addresses[ix])
-		if err != nil {
-			return eris.Wrap(err, "listen")
-		}
-		if srv == callers {
-			ln = netutil.LimitListener(ln, cs.Connections)
-		}
-		go func() {
-			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-				failed <- eris.Wrap(err, "serve")
-			}
-		}()
+	return en.serve(callers, en.st.Entry.CallerAddress, cs.Connections, failed)
+}
+
+// serve listens with at most so many connections, 0 for any number; failed is told when serving ends by itself.
+func (en *entry) serve(srv *http.Server, address string, connections int, failed chan<- error) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
 	}
+	if connections > 0 {
+		ln = netutil.LimitListener(ln, connections)
+	}
+	en.servers = append(en.servers, srv)
+	go func() {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			failed <- eris.Wrap(err, "serve")
+		}
+	}()
 	return nil
 }
 
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,100 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/aspenseam/aspenseam/platform"
+	"github.com/go-resty/resty/v2"
+)
+
+const clientTimeout = 30 * time.Second
+
+// Client makes the operator's calls to an entry instance.
+type Client struct {
+	rc *resty.Client
+}
+
+// NewClient returns a client of an entry instance's operator listener.
+func NewClient(address, token string) *Client {
+	return &Client{rc: resty.New().SetBaseURL("http://" + address).SetAuthToken(token).SetTimeout(clientTimeout)}
+}
+
+// CallError is an answer that says that the call was not carried out.
+type CallError struct {
+	Status  int
+	Problem Problem
+}
+
+// Error returns the message and all findings, one a line.
+func (ce *CallError) Error() string {
+	return strings.Join(append([]string{ce.Problem.Message}, ce.Problem.Findings...), "\n  ")
+}
+
+// do makes one call and decodes the answer.
+func (cl *Client) do(ctx context.Context, method, path string, body, result any) error {
+	var problem Problem
+	rq := cl.rc.R().SetContext(ctx).SetResult(result).SetError(&problem)
+	if body != nil {
+		rq.SetBody(body)
+	}
+	rp, err := rq.Execute(method, path)
+	if err != nil {
+		return fmt.Errorf("call %s: %w", path, err)
+	}
+	if rp.IsError() {
+		return &CallError{Status: rp.StatusCode(), Problem: problem}
+	}
+	return nil
+}
+
+// Status returns what the entry instance says of itself.
+func (cl *Client) Status(ctx context.Context) (Status, error) {
+	var st Status
+	return st, cl.do(ctx, http.MethodGet, "/v1/status", nil, &st)
+}
+
+// Propose asks for a plan.
+func (cl *Client) Propose(ctx context.Context, it Intent) (PlanView, error) {
+	var vw PlanView
+	return vw, cl.do(ctx, http.MethodPost, "/v1/plans", it, &vw)
+}
+
+// Plan returns one plan.
+func (cl *Client) Plan(ctx context.Context, id platform.PlanID) (PlanView, error) {
+	var vw PlanView
+	return vw, cl.do(ctx, http.MethodGet, "/v1/plans/"+string(id), nil, &vw)
+}
+
+// Plans returns all plans.
+func (cl *Client) Plans(ctx context.Context) ([]PlanView, error) {
+	var vws []PlanView
+	return vws, cl.do(ctx, http.MethodGet, "/v1/plans", nil, &vws)
+}
+
+// Change confirms, pauses, resumes or aborts a plan.
+func (cl *Client) Change(ctx context.Context, id platform.PlanID, call string) (PlanView, error) {
+	var vw PlanView
+	return vw, cl.do(ctx, http.MethodPost, "/v1/plans/"+string(id)+"/"+call, nil, &vw)
+}
+
+// Audit returns the audit trail.
+func (cl *Client) Audit(ctx context.Context) ([]platform.Audit, error) {
+	var lines []platform.Audit
+	return lines, cl.do(ctx, http.MethodGet, "/v1/audit", nil, &lines)
+}
+
+// Configuration returns the accepted configuration and what each entry instance runs.
+func (cl *Client) Configuration(ctx context.Context) (ConfigurationView, error) {
+	var vw ConfigurationView
+	return vw, cl.do(ctx, http.MethodGet, "/v1/settings", nil, &vw)
+}
+
+// Accept offers a configuration over the version that was seen.
+func (cl *Client) Accept(ctx context.Context, document string, over platform.Version) (ConfigurationView, error) {
+	var vw ConfigurationView
+	return vw, cl.do(ctx, http.MethodPut, "/v1/settings", AcceptCall{Document: document, Over: over}, &vw)
+}
--- /dev/null
+++ b/operator/executor.go
@@ -0,0 +1,339 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/aspenseam/aspenseam/event"
+	"github.com/aspenseam/aspenseam/platform"
+	"go.uber.org/zap"
+)
+
+const (
+	defaultTick      = 500 * time.Millisecond
+	defaultLeaseFor  = 10 * time.Second
+	defaultFreshness = 10 * time.Second
+	commitTimeout    = 5 * time.Second
+)
+
+// Platform acts on instances and knows their use.
+type Platform interface {
+	Usage(ctx context.Context) ([]platform.Usage, error)
+	Act(ctx context.Context, id platform.InstanceID, ac platform.Action, step string) error
+}
+
+// Rows holds the snapshot and takes rows that were just committed.
+type Rows interface {
+	Snapshots
+	Merge(rows []platform.Row, complete platform.Version)
+	Poll()
+}
+
+// Acks asks every entry instance listed what it has for an instance that leaves.
+type Acks interface {
+	Leaving(ctx context.Context, entries []platform.Member, pn platform.Pin) []Ack
+}
+
+// Prober tells whether an instance answers.
+type Prober interface {
+	Up(ctx context.Context, address string) bool
+}
+
+// ExecutorOptions holds what an executor can be built with.
+type ExecutorOptions struct {
+	Entry          platform.InstanceID
+	Incarnation    platform.Incarnation
+	Tick           time.Duration
+	LeaseFor       time.Duration
+	Freshness      time.Duration
+	LongestRequest time.Duration
+	Log            *event.Logger
+	Now            func() time.Time
+}
+
+// Executor carries confirmed plans out; any number may run, and each step's conditional write decides.
+type Executor struct {
+	opts     ExecutorOptions
+	table    platform.Table
+	platform Platform
+	rows     Rows
+	acks     Acks
+	prober   Prober
+	// before is called before each side effect and commit; tests freeze or end the executor there.
+	before func(point string)
+}
+
+// NewExecutor returns an executor.
+func NewExecutor(table platform.Table, pf Platform, rows Rows, acks Acks, prober Prober, opts ExecutorOptions) *Executor {
+	if opts.Tick == 0 {
+		opts.Tick = defaultTick
+	}
+	if opts.LeaseFor == 0 {
+		opts.LeaseFor = defaultLeaseFor
+	}
+	if opts.Freshness == 0 {
+		opts.Freshness = defaultFreshness
+	}
+	if opts.Log == nil {
+		opts.Log = event.Nop()
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	return &Executor{opts: opts, table: table, platform: pf, rows: rows, acks: acks, prober: prober, before: func(string) {}}
+}
+
+// SetBefore sets a function that is called before each side effect and commit, for tests.
+func (ex *Executor) SetBefore(before func(point string)) {
+	ex.before = before
+}
+
+// Run works on plans until the context ends.
+func (ex *Executor) Run(ctx context.Context) {
+	ticker := time.NewTicker(ex.opts.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			ex.Tick(ctx)
+		}
+	}
+}
+
+// Tick takes every active plan one step further as far as it can.
+func (ex *Executor) Tick(ctx context.Context) {
+	for _, pn := range PlansOf(ex.rows.Snapshot()) {
+		if pn.Status == PlanRunning || pn.Status == PlanAborting {
+			ex.work(ctx, pn)
+		}
+	}
+}
+
+// work does what can be done for one plan now.
+func (ex *Executor) work(ctx context.Context, pn *Plan) {
+	lease, free := ex.leaseOf(pn.ID)
+	if !free {
+		return
+	}
+	usage, err := ex.platform.Usage(ctx)
+	if err != nil {
+		ex.keepLease(ctx, lease, []string{"the platform does not say how the workers are used"})
+		return
+	}
+	if age := ex.opts.Now().Sub(ex.rows.Snapshot().MembersAt); age > ex.opts.Freshness {
+		ex.keepLease(ctx, lease, []string{fmt.Sprintf("the membership is %v old", age.Round(time.Second))})
+		return
+	}
+	if !ex.keepLease(ctx, lease, lease.Waiting) {
+		return
+	}
+	waiting := ex.steps(ctx, pn, usage)
+	if !slices.Equal(waiting, lease.Waiting) {
+		ex.note(pn, waiting)
+		lease, _ = ex.leaseOf(pn.ID)
+		ex.writeLease(ctx, lease, waiting)
+	}
+}
+
+func (ex *Executor) note(pn *Plan, waiting []string) {
+	for _, reason := range waiting {
+		ex.opts.Log.Emit(event.PlanWaiting, zap.String("plan", string(pn.ID)), zap.String("reason", reason))
+	}
+}
+
+// steps decides on every instance in reach and returns what is waited for.
+func (ex *Executor) steps(ctx context.Context, pn *Plan, usage []platform.Usage) []string {
+	var waiting []string
+	ids, wave := ex.inReach(pn, FleetOf(ex.rows.Snapshot(), usage))
+	if len(ids) == 0 {
+		ex.finish(ctx, pn)
+		return nil
+	}
+	for _, id := range ids {
+		// Each decision sees what the ones before have committed.
+		sn := ex.rows.Snapshot()
+		ip := ex.input(ctx, pn, wave, sn, FleetOf(sn, usage), id)
+		dc := Decide(ip)
+		if dc.Move == MoveWait {
+			waiting = append(waiting, dc.Reason)
+			continue
+		}
+		if err := ex.carryOut(ctx, ip, sn, dc.Move); err != nil {
+			waiting = append(waiting, fmt.Sprintf("instance %s: %s: %v", id, dc.Move, errors.Unwrap(err)))
+		}
+	}
+	return waiting
+}
+
+// inReach returns the instances of the current wave, or all that an aborting plan still holds.
+func (ex *Executor) inReach(pn *Plan, ft *Fleet) ([]platform.InstanceID, Wave) {
+	if pn.Status == PlanAborting {
+		var held []platform.InstanceID
+		for _, id := range pn.instances() {
+			if in := ft.Instance(id); in != nil && in.Hold != nil && in.Hold.Plan == pn.ID {
+				held = append(held, id)
+			}
+		}
+		return held, Wave{}
+	}
+	number := currentWave(pn, ft)
+	if number < 0 {
+		return nil, Wave{}
+	}
+	return pn.Waves[number].Instances, pn.Waves[number]
+}
+
+// input gathers what the decision on one instance is made from.
+func (ex *Executor) input(ctx context.Context, pn *Plan, wave Wave, sn *platform.Snapshot, ft *Fleet, id platform.InstanceID) Input {
+	in := ft.Instance(id)
+	ip := Input{Plan: pn, Wave: wave, Fleet: ft, In: in, Now: ex.opts.Now(), Quiet: ex.opts.LongestRequest, Successors: ex.covered(pn, sn, ft, in)}
+	if in.Hold == nil || in.Hold.Plan != pn.ID {
+		return ip
+	}
+	switch in.Hold.Phase {
+	case platform.PhaseDrained:
+		ip.Acks = ex.acks.Leaving(ctx, sn.Entries(), platform.Pin{Instance: id, Epoch: in.Epoch})
+	case platform.PhaseStopped:
+		ip.Up = ex.prober.Up(ctx, in.Address)
+	}
+	return ip
+}
+
+// successors returns where an instance's sessions may go without being moved again.
+func (ex *Executor) successors(pn *Plan, sn *platform.Snapshot, in *platform.Instance) map[platform.ServiceID][]platform.Pin {
+	plans := PlansOf(sn)
+	return sn.Successors(*in, func(other *platform.Instance) bool {
+		return !sn.Gone(other.ID) && mayTake(pn, plans, other)
+	})
+}
+
+// covered reports whether every service with open sessions has a successor.
+func (ex *Executor) covered(pn *Plan, sn *platform.Snapshot, ft *Fleet, in *platform.Instance) bool {
+	successors := ex.successors(pn, sn, in)
+	for service, sessions := range ft.Sessions[in.ID] {
+		if sessions > 0 && len(successors[service]) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// finish ends a plan that has nothing left to do.
+func (ex *Executor) finish(ctx context.Context, pn *Plan) {
+	next := *pn
+	next.Status = PlanDone
+	if pn.Status == PlanAborting {
+		next.Status = PlanAborted
+	}
+	// Another executor may have finished it first.
+	_ = ex.commit(ctx, pn, "plan"+string(next.Status), string(pn.ID), ex.planWrite(pn, &next))
+}
+
+// leaseOf returns the lease of a plan and whether this executor may work on it.
+func (ex *Executor) leaseOf(id platform.PlanID) (PlanLease, bool) {
+	lease := PlanLease{Plan: id}
+	rw, known := ex.rows.Snapshot().Rows[platform.RowKey{Table: platform.TableLease, Key: string(id)}]
+	if known && !rw.Deleted {
+		// A lease that cannot be read is treated as free; no promise rests on it.
+		lease, _ = platform.Decode[PlanLease](rw)
+	}
+	mine := lease.Holder == ex.opts.Entry && lease.Incarnation == ex.opts.Incarnation
+	return lease, mine || !ex.opts.Now().Before(lease.Until)
+}
+
+// keepLease takes or renews the lease when less than half of it is left, and reports whether this executor holds it.
+func (ex *Executor) keepLease(ctx context.Context, lease PlanLease, waiting []string) bool {
+	mine := lease.Holder == ex.opts.Entry && lease.Incarnation == ex.opts.Incarnation
+	fresh := lease.Until.Sub(ex.opts.Now()) > ex.opts.LeaseFor/2
+	if mine && fresh && slices.Equal(waiting, lease.Waiting) {
+		return true
+	}
+	return ex.writeLease(ctx, lease, waiting)
+}
+
+func (ex *Executor) writeLease(ctx context.Context, lease PlanLease, waiting []string) bool {
+	version := ex.rows.Snapshot().Rows[platform.RowKey{Table: platform.TableLease, Key: string(lease.Plan)}].Version
+	lease.Holder, lease.Incarnation, lease.Waiting = ex.opts.Entry, ex.opts.Incarnation, waiting
+	lease.Until = ex.opts.Now().Add(ex.opts.LeaseFor)
+	raw, err := platform.Encode(lease)
+	if err != nil {
+		return false
+	}
+	wt := platform.Write{Table: platform.TableLease, Key: string(lease.Plan), IfVersion: version, Value: raw}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	committed, err := ex.table.Commit(ctx, platform.Tx{Writes: []platform.Write{wt}})
+	if err != nil {
+		ex.rows.Poll()
+		return false
+	}
+	ex.merge([]platform.Write{wt}, committed)
+	return true
+}
+
+// commit applies a step's writes with its line of audit, at most once, and lets the next decision see them.
+func (ex *Executor) commit(ctx context.Context, pn *Plan, action, subject string, writes ...platform.Write) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	ex.before("commit " + action)
+	au := platform.Audit{Actor: string(ex.opts.Entry), Action: action, Subject: subject, Why: pn.Intent.Why, Plan: string(pn.ID)}
+	version, err := platform.CommitOnce(ctx, ex.table, au, writes...)
+	if err != nil {
+		ex.rows.Poll()
+		return fmt.Errorf("commit: %w", err)
+	}
+	ex.merge(writes, version)
+	ex.opts.Log.Emit(event.PlanStep, zap.String("plan", string(pn.ID)), zap.String("action", action), zap.String("subject", subject))
+	return nil
+}
+
+// merge shows committed writes to this entry instance at once.
+func (ex *Executor) merge(writes []platform.Write, version platform.Version) {
+	var rows []platform.Row
+	for _, wt := range writes {
+		if !wt.Check {
+			rows = append(rows, platform.Row{Table: wt.Table, Key: wt.Key, Version: version, Value: wt.Value, Deleted: wt.Delete})
+		}
+	}
+	ex.rows.Merge(rows, 0)
+	ex.rows.Poll()
+}
+
+// planWrite changes the plan's row; without a change it only checks that nobody else has changed it.
+func (ex *Executor) planWrite(pn *Plan, next *Plan) platform.Write {
+	rw := ex.rows.Snapshot().Rows[platform.RowKey{Table: platform.TablePlan, Key: string(pn.ID)}]
+	wt := platform.Write{Table: platform.TablePlan, Key: string(pn.ID), IfVersion: rw.Version, Check: next == nil}
+	if next != nil {
+		// A plan that was decoded from a row encodes again.
+		wt.Value, _ = platform.Encode(next)
+	}
+	return wt
+}
+
+// PlansOf returns the plans of a snapshot by age, the oldest first.
+func PlansOf(sn *platform.Snapshot) []*Plan {
+	var plans []*Plan
+	for key, rw := range sn.Rows {
+		if key.Table != platform.TablePlan || key.Key == headKey || rw.Deleted {
+			continue
+		}
+		if pn, err := platform.Decode[Plan](rw); err == nil {
+			plans = append(plans, &pn)
+		}
+	}
+	slices.SortFunc(plans, func(ap, bp *Plan) int {
+		if order := ap.CreatedAt.Compare(bp.CreatedAt); order != 0 {
+			return order
+		}
+		if ap.ID < bp.ID {
+			return -1
+		}
+		return 1
+	})
+	return plans
+}
--- /dev/null
+++ b/operator/http.go
@@ -0,0 +1,134 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/aspenseam/aspenseam/platform"
+)
+
+// maxCallBytes bounds what an operator may send in one call.
+const maxCallBytes = 1 << 20
+
+// PlanView is a plan with how far it has come.
+type PlanView struct {
+	Plan
+	// Executor is the entry instance that works on it.
+	Executor platform.InstanceID `json:"executor,omitempty"`
+	// Waiting says why it does not go on.
+	Waiting []string `json:"waiting,omitempty"`
+	// Finished counts the instances that it is done with, of all its instances.
+	Finished int `json:"finished"`
+	Total    int `json:"total"`
+}
+
+// viewOf returns how far a plan has come in a snapshot.
+func viewOf(sn *platform.Snapshot, pn *Plan) PlanView {
+	vw := PlanView{Plan: *pn, Total: len(pn.instances())}
+	for _, id := range pn.instances() {
+		if in := sn.Instances[id]; in != nil && in.Done == pn.ID && in.Hold == nil {
+			vw.Finished++
+		}
+	}
+	rw, known := sn.Rows[platform.RowKey{Table: platform.TableLease, Key: string(pn.ID)}]
+	if !known || pn.Status.ended() {
+		return vw
+	}
+	if lease, err := platform.Decode[PlanLease](rw); err == nil {
+		vw.Executor, vw.Waiting = lease.Holder, lease.Waiting
+	}
+	return vw
+}
+
+func (sv *Server) propose(wr http.ResponseWriter, rq *http.Request) {
+	var it Intent
+	if !readCall(wr, rq, &it) {
+		return
+	}
+	pn, err := sv.desk.Propose(rq.Context(), operatorOf(rq.Context()), it)
+	sv.answerPlan(wr, http.StatusCreated, pn, err)
+}
+
+func (sv *Server) confirm(wr http.ResponseWriter, rq *http.Request) {
+	pn, err := sv.desk.Confirm(rq.Context(), operatorOf(rq.Context()), platform.PlanID(rq.PathValue("id")))
+	sv.answerPlan(wr, http.StatusOK, pn, err)
+}
+
+func (sv *Server) change(wr http.ResponseWriter, rq *http.Request) {
+	pn, err := sv.desk.Change(rq.Context(), operatorOf(rq.Context()), platform.PlanID(rq.PathValue("id")), rq.PathValue("call"))
+	sv.answerPlan(wr, http.StatusOK, pn, err)
+}
+
+func (sv *Server) plan(wr http.ResponseWriter, rq *http.Request) {
+	pn, _, err := planOf(sv.snapshots.Snapshot(), platform.PlanID(rq.PathValue("id")))
+	sv.answerPlan(wr, http.StatusOK, pn, err)
+}
+
+func (sv *Server) plans(wr http.ResponseWriter, _ *http.Request) {
+	sn := sv.snapshots.Snapshot()
+	views := []PlanView{}
+	for _, pn := range PlansOf(sn) {
+		views = append(views, viewOf(sn, pn))
+	}
+	writeJSON(wr, http.StatusOK, views)
+}
+
+func (sv *Server) answerPlan(wr http.ResponseWriter, status int, pn *Plan, err error) {
+	if err != nil {
+		writeError(wr, err)
+		return
+	}
+	writeJSON(wr, status, viewOf(sv.snapshots.Snapshot(), pn))
+}
+
+// auditTrail returns the lines of audit after a version.
+func (sv *Server) auditTrail(wr http.ResponseWriter, rq *http.Request) {
+	since, err := strconv.ParseUint(rq.URL.Query().Get("since"), 10, 64)
+	if err != nil && rq.URL.Query().Get("since") != "" {
+		writeJSON(wr, http.StatusBadRequest, Problem{Message: "since must be a version"})
+		return
+	}
+	cs, err := sv.table.Changes(rq.Context(), platform.Version(since), []platform.TableName{platform.TableAudit})
+	if err != nil {
+		writeError(wr, err)
+		return
+	}
+	lines := []platform.Audit{}
+	for _, rw := range cs.Rows {
+		if au, err := platform.Decode[platform.Audit](rw); err == nil {
+			lines = append(lines, au)
+		}
+	}
+	writeJSON(wr, http.StatusOK, lines)
+}
+
+// readCall decodes the body of a call, or answers with the one clear error.
+func readCall(wr http.ResponseWriter, rq *http.Request, value any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(wr, rq.Body, maxCallBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(value); err != nil {
+		writeJSON(wr, http.StatusBadRequest, Problem{Message: "the body cannot be read: " + err.Error()})
+		return false
+	}
+	return true
+}
+
+// writeError answers a call that was not carried out.
+func writeError(wr http.ResponseWriter, err error) {
+	var refused *RefusedError
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &refused):
+		writeJSON(wr, http.StatusConflict, Problem{Message: refused.Message, Findings: refused.Findings})
+	case errors.Is(err, ErrNotFound):
+		writeJSON(wr, http.StatusNotFound, Problem{Message: err.Error()})
+	case errors.Is(err, ErrState), errors.As(err, &conflict):
+		writeJSON(wr, http.StatusConflict, Problem{Message: err.Error()})
+	case errors.Is(err, platform.ErrLost):
+		writeJSON(wr, http.StatusGatewayTimeout, Problem{Message: "the platform did not say whether this took effect; look, or call again: it takes effect at most once"})
+	default:
+		writeJSON(wr, http.StatusServiceUnavailable, Problem{Message: "the platform does not answer; nothing was changed"})
+	}
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -96,25 +96,42 @@
 	opts      Options
 	snapshots Snapshots
 	endpoints Endpoints
+	table     platform.Table
+	desk      *Desk
+	versions  Versions
 }
 
 // NewServer returns a server.
-func NewServer(snapshots Snapshots, endpoints Endpoints, options ...Option) *Server {
+func NewServer(snapshots Snapshots, endpoints Endpoints, table platform.Table, desk *Desk, versions Versions, options ...Option) *Server {
 	opts := Options{Registry: metrics.NewRegistry(), Log: event.Nop()}
 	for _, option := range options {
 		option(&opts)
 	}
-	return &Server{opts: opts, snapshots: snapshots, endpoints: endpoints}
+	return &Server{opts: opts, snapshots: snapshots, endpoints: endpoints, table: table, desk: desk, versions: versions}
 }
 
 // operatorKey is the context key of the operator's name.
 type operatorKey struct{}
 
+// operatorOf returns the name of the operator that a call came from.
+func operatorOf(ctx context.Context) Name {
+	name, _ := ctx.Value(operatorKey{}).(Name)
+	return name
+}
+
 // Handler returns the operators' calls; each needs a known token.
 func (sv *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/status", sv.status)
 	mux.HandleFunc("GET /v1/metrics", sv.metrics)
+	mux.HandleFunc("GET /v1/audit", sv.auditTrail)
+	mux.HandleFunc("GET /v1/settings", sv.configuration)
+	mux.HandleFunc("PUT /v1/settings", sv.accept)
+	mux.HandleFunc("GET /v1/plans", sv.plans)
+	mux.HandleFunc("POST /v1/plans", sv.propose)
+	mux.HandleFunc("GET /v1/plans/{id}", sv.plan)
+	mux.HandleFunc("POST /v1/plans/{id}/confirm", sv.confirm)
+	mux.HandleFunc("POST /v1/plans/{id}/{call}", sv.change)
 	return sv.authorize(mux)
 }
 
--- /dev/null
+++ b/operator/planner.go
@@ -0,0 +1,440 @@
+package operator
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/aspenseam/aspenseam/platform"
+)
+
+// parallelSteps makes the numbers that are weighed grow by a quarter, so that large fleets need few.
+const parallelSteps = 4
+
+// Weights say how much an operator minds each cost.
+type Weights struct {
+	// Moves is for each session that is moved.
+	Moves float64
+	// Buffer is for each hour that an instance is out of use.
+	Buffer float64
+	// Time is for each hour that the roll-out takes.
+	Time float64
+}
+
+// Pace is how long things take.
+type Pace struct {
+	// SessionLength is the mean length of a session.
+	SessionLength time.Duration
+	// RebootTime is how long an instance takes to stop and start.
+	RebootTime time.Duration
+	// CloseTimes are the times for natural ends that may be chosen.
+	CloseTimes []time.Duration
+}
+
+// Planner makes plans; it does no input or output.
+type Planner struct {
+	Weights Weights
+	Pace    Pace
+}
+
+// draft is a plan in the making, for one strategy.
+type draft struct {
+	pl       *Planner
+	ft       *Fleet
+	kind     Kind
+	strategy Strategy
+	// left holds the targets that are in no wave yet.
+	left []*platform.Instance
+	// usable counts the usable instances of each service, less those that earlier waves took for good.
+	usable map[platform.ServiceID]int
+	// room is how many sessions of each service its finished and untouched instances can still take.
+	room  map[platform.ServiceID]int
+	waves []Wave
+}
+
+// Propose returns the cheapest plan for an intent, or the findings that forbid any.
+func (pl *Planner) Propose(ft *Fleet, it Intent) (*Plan, []string) {
+	targets, findings := Targets(ft, it)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	if findings := pl.impossible(ft, it, targets); len(findings) > 0 {
+		return nil, findings
+	}
+	var best *Plan
+	bestCost := math.Inf(1)
+	for _, sg := range pl.strategies(ft, it, targets) {
+		pn := pl.draft(ft, it, targets, sg)
+		if cost := pl.cost(pn.Estimate); cost < bestCost {
+			best, bestCost = pn, cost
+		}
+	}
+	best.Intent, best.Status = it, PlanProposed
+	best.Touches = touches(ft, best)
+	best.Base = Facts(ft, best)
+	return best, nil
+}
+
+// Targets returns the instances that an intent names, or what is wrong with it.
+func Targets(ft *Fleet, it Intent) ([]*platform.Instance, []string) {
+	var findings []string
+	add := func(format string, args ...any) { findings = append(findings, fmt.Sprintf(format, args...)) }
+	if it.Why == "" {
+		add("why is required")
+	}
+	switch it.Kind {
+	case KindReboot, KindDrain, KindReturn:
+	case KindMove:
+		if ft.Pools[it.ToPool] == nil {
+			add("toPool %q is not a pool", it.ToPool)
+		}
+	default:
+		add("kind must be %s, %s, %s or %s", KindReboot, KindDrain, KindMove, KindReturn)
+	}
+	var targets []*platform.Instance
+	for _, in := range ft.Instances {
+		if named(it, in) && wanted(it, in) {
+			targets = append(targets, in)
+		}
+	}
+	for _, id := range it.Instances {
+		if ft.Instance(id) == nil {
+			add("instance %q does not exist", id)
+		}
+	}
+	if len(targets) == 0 && len(findings) == 0 {
+		add("no instance is named that this can be done to")
+	}
+	return targets, findings
+}
+
+func named(it Intent, in *platform.Instance) bool {
+	return slices.Contains(it.Instances, in.ID) || slices.Contains(it.Racks, in.Rack) || slices.Contains(it.Pools, in.Pool) || slices.Contains(it.Halls, in.Hall)
+}
+
+// wanted leaves out instances that are already as the intent wants them.
+func wanted(it Intent, in *platform.Instance) bool {
+	switch it.Kind {
+	case KindReturn:
+		return in.State == platform.InstanceIdle
+	case KindDrain:
+		return in.State != platform.InstanceIdle
+	case KindMove:
+		return in.Pool != it.ToPool
+	}
+	return true
+}
+
+// strategies returns the ways that are weighed.
+func (pl *Planner) strategies(ft *Fleet, it Intent, targets []*platform.Instance) []Strategy {
+	closeTimes := pl.Pace.CloseTimes
+	if len(closeTimes) == 0 || it.Kind == KindReturn {
+		closeTimes = []time.Duration{0}
+	}
+	most := min(len(targets), max(1, largestBudget(ft, targets)))
+	var strategies []Strategy
+	for parallel := 1; parallel <= most; parallel += max(1, parallel/parallelSteps) {
+		for _, wait := range closeTimes {
+			strategies = append(strategies, Strategy{Parallel: parallel, CloseMs: wait.Milliseconds()})
+		}
+	}
+	return strategies
+}
+
+// largestBudget sums the budgets of the targets' services, the most that can be out together.
+func largestBudget(ft *Fleet, targets []*platform.Instance) int {
+	seen := map[platform.ServiceID]bool{}
+	sum := 0
+	for _, in := range targets {
+		for _, id := range in.Services {
+			if sv := ft.Services[id]; sv != nil && !seen[id] {
+				seen[id] = true
+				sum += sv.Budget
+			}
+		}
+	}
+	return sum
+}
+
+// cost weighs an estimate.
+func (pl *Planner) cost(es Estimate) float64 {
+	hours := float64(es.LengthMs) / float64(time.Hour.Milliseconds())
+	return pl.Weights.Moves*float64(es.Moves) + pl.Weights.Buffer*es.BufferHours + pl.Weights.Time*hours
+}
+
+// impossible returns the budgets that an intent would break for good.
+func (pl *Planner) impossible(ft *Fleet, it Intent, targets []*platform.Instance) []string {
+	if !it.Kind.forGood() {
+		return nil
+	}
+	out := map[platform.ServiceID]int{}
+	for _, in := range targets {
+		for _, id := range in.Services {
+			if ft.usable(in) && !(it.Kind == KindMove && slices.Contains(ft.Pools[it.ToPool].Services, id)) {
+				out[id]++
+			}
+		}
+	}
+	var findings []string
+	for id, count := range out {
+		sv := ft.Services[id]
+		if sv == nil {
+			continue
+		}
+		if left, least := ft.usableOf(sv)-count, sv.Asked-sv.Budget; left < least {
+			findings = append(findings, fmt.Sprintf("service %s would keep %d usable instances and needs %d", id, left, least))
+		}
+	}
+	slices.Sort(findings)
+	return findings
+}
+
+// forGood reports whether instances do not come back to their services.
+func (kd Kind) forGood() bool {
+	return kd == KindDrain || kd == KindMove
+}
+
+// draft divides the targets into waves for one strategy.
+func (pl *Planner) draft(ft *Fleet, it Intent, targets []*platform.Instance, sg Strategy) *Plan {
+	dr := &draft{pl: pl, ft: ft, kind: it.Kind, strategy: sg, left: slices.Clone(targets), usable: map[platform.ServiceID]int{}, room: map[platform.ServiceID]int{}}
+	target := map[platform.InstanceID]bool{}
+	for _, in := range targets {
+		target[in.ID] = true
+	}
+	for id, sv := range ft.Services {
+		dr.usable[id] = ft.usableOf(sv)
+	}
+	for _, in := range ft.Instances {
+		if !target[in.ID] && ft.usable(in) {
+			dr.addRoom(in, ft.Sessions[in.ID])
+		}
+	}
+	slices.SortStableFunc(dr.left, dr.before)
+	for len(dr.left) > 0 {
+		dr.next()
+	}
+	pn := &Plan{Strategy: sg, Waves: dr.waves}
+	pn.Estimate = pl.estimate(ft, it, pn)
+	return pn
+}
+
+// addRoom adds the connections of an instance that may take sessions, less those that it has.
+func (dr *draft) addRoom(in *platform.Instance, sessions map[platform.ServiceID]int) {
+	for _, id := range in.Services {
+		if sv := dr.ft.Services[id]; sv != nil {
+			dr.room[id] += max(0, sv.Connections-sessions[id])
+		}
+	}
+}
+
+// before orders targets: those out of use first, then by rack with few sessions, so that a rack leaves together where the budget allows.
+func (dr *draft) before(ai, bi *platform.Instance) int {
+	if order := cmp.Compare(boolRank(dr.ft.usable(ai)), boolRank(dr.ft.usable(bi))); order != 0 {
+		return order
+	}
+	if order := cmp.Compare(dr.ft.open(ai.ID), dr.ft.open(bi.ID)); order != 0 {
+		return order
+	}
+	if order := strings.Compare(string(ai.Rack), string(bi.Rack)); order != 0 {
+		return order
+	}
+	return strings.Compare(string(ai.ID), string(bi.ID))
+}
+
+func boolRank(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+// next adds one wave: as many of the first targets as the budgets, the strategy and the room for their sessions allow.
+func (dr *draft) next() {
+	var wv Wave
+	out := map[platform.ServiceID]int{}
+	var rest, taken []*platform.Instance
+	for _, in := range dr.left {
+		full := len(taken) >= dr.strategy.Parallel && dr.ft.usable(in)
+		if full || !dr.fits(in, out) || !dr.takeRoom(in) {
+			rest = append(rest, in)
+			continue
+		}
+		dr.count(in, out)
+		taken = append(taken, in)
+	}
+	if len(taken) == 0 {
+		// Nothing fits: the first target goes alone, and its sessions end by themselves.
+		taken, rest = dr.left[:1], dr.left[1:]
+		wv.NaturalOnly = dr.ft.open(taken[0].ID) > 0
+	}
+	for _, in := range taken {
+		wv.Instances = append(wv.Instances, in.ID)
+		dr.finish(in)
+	}
+	dr.waves = append(dr.waves, wv)
+	dr.left = rest
+}
+
+// finish notes that an instance has been dealt with: it can take sessions again, or is gone for good.
+func (dr *draft) finish(in *platform.Instance) {
+	switch {
+	case dr.kind == KindReboot:
+		dr.addRoom(in, nil)
+	case dr.kind.forGood() && dr.ft.usable(in):
+		for _, id := range in.Services {
+			dr.usable[id]--
+		}
+	}
+}
+
+// fits reports whether the budgets of an instance's services allow it beside those already in the wave.
+func (dr *draft) fits(in *platform.Instance, out map[platform.ServiceID]int) bool {
+	if !dr.ft.usable(in) {
+		return true
+	}
+	for _, id := range in.Services {
+		sv := dr.ft.Services[id]
+		if sv != nil && dr.usable[id]-out[id]-1 < sv.Asked-sv.Budget {
+			return false
+		}
+	}
+	return true
+}
+
+func (dr *draft) count(in *platform.Instance, out map[platform.ServiceID]int) {
+	if !dr.ft.usable(in) {
+		return
+	}
+	for _, id := range in.Services {
+		out[id]++
+	}
+}
+
+// takeRoom reserves room for the sessions that will have to move; they go only where the plan does not touch them again.
+func (dr *draft) takeRoom(in *platform.Instance) bool {
+	for id, sessions := range dr.ft.Sessions[in.ID] {
+		if dr.pl.remaining(sessions, dr.strategy) > dr.room[id] {
+			return false
+		}
+	}
+	for id, sessions := range dr.ft.Sessions[in.ID] {
+		dr.room[id] -= dr.pl.remaining(sessions, dr.strategy)
+	}
+	return true
+}
+
+// remaining returns how many of so many sessions are still open after the time for natural ends.
+func (pl *Planner) remaining(sessions int, sg Strategy) int {
+	if pl.Pace.SessionLength <= 0 {
+		return sessions
+	}
+	return int(math.Ceil(float64(sessions) * math.Exp(-sg.closeFor().Seconds()/pl.Pace.SessionLength.Seconds())))
+}
+
+// estimate returns what a plan is expected to cost.
+func (pl *Planner) estimate(ft *Fleet, it Intent, pn *Plan) Estimate {
+	var es Estimate
+	var length time.Duration
+	for _, wv := range pn.Waves {
+		wait, sessions := pn.Strategy.closeFor(), 0
+		for _, id := range wv.Instances {
+			if !wv.NaturalOnly {
+				sessions += pl.remaining(ft.open(id), pn.Strategy)
+			}
+		}
+		if wv.NaturalOnly {
+			wait = max(wait, pl.untilNone(ft.open(wv.Instances[0])))
+		}
+		if it.Kind != KindReturn {
+			es.Moves += sessions
+		}
+		waveTime := wait + pl.Pace.RebootTime
+		length += waveTime
+		es.BufferPeak = max(es.BufferPeak, len(wv.Instances))
+		es.BufferHours += float64(len(wv.Instances)) * waveTime.Hours()
+	}
+	es.LengthMs = length.Milliseconds()
+	return es
+}
+
+// untilNone returns when the last of so many sessions is expected to end by itself.
+func (pl *Planner) untilNone(sessions int) time.Duration {
+	harmonic := 0.0
+	for number := 1; number <= sessions; number++ {
+		harmonic += 1 / float64(number)
+	}
+	return time.Duration(harmonic * float64(pl.Pace.SessionLength))
+}
+
+// touches returns how close a plan comes to each budget.
+func touches(ft *Fleet, pn *Plan) []Touch {
+	most := map[platform.ServiceID]int{}
+	for _, wv := range pn.Waves {
+		out := map[platform.ServiceID]int{}
+		for _, id := range wv.Instances {
+			in := ft.Instance(id)
+			for _, service := range in.Services {
+				if ft.usable(in) {
+					out[service]++
+				}
+			}
+		}
+		for service, count := range out {
+			most[service] = max(most[service], count)
+		}
+	}
+	var touched []Touch
+	for id, count := range most {
+		if sv := ft.Services[id]; sv != nil {
+			touched = append(touched, Touch{Service: id, Asked: sv.Asked, Budget: sv.Budget, MostOut: sv.Asked - ft.usableOf(sv) + count})
+		}
+	}
+	slices.SortFunc(touched, func(at, bt Touch) int { return strings.Compare(string(at.Service), string(bt.Service)) })
+	return touched
+}
+
+// Facts returns what a plan relies on, as it is in a fleet.
+func Facts(ft *Fleet, pn *Plan) []Fact {
+	var facts []Fact
+	services := map[platform.ServiceID]bool{}
+	for _, id := range slices.Sorted(slices.Values(pn.instances())) {
+		in := ft.Instance(id)
+		if in == nil {
+			facts = append(facts, Fact{Subject: "instance " + string(id), Value: "absent"})
+			continue
+		}
+		holder := ""
+		if in.Hold != nil {
+			holder = ", held by plan " + string(in.Hold.Plan)
+		}
+		facts = append(facts, Fact{Subject: "instance " + string(id), Value: fmt.Sprintf("%s in pool %s%s", in.State, in.Pool, holder)})
+		for _, service := range in.Services {
+			services[service] = true
+		}
+	}
+	for id, sv := range ft.Services {
+		if services[id] {
+			facts = append(facts, Fact{Subject: "service " + string(id), Value: fmt.Sprintf("asked %d, budget %d", sv.Asked, sv.Budget)})
+		}
+	}
+	slices.SortFunc(facts, func(af, bf Fact) int { return strings.Compare(af.Subject, bf.Subject) })
+	return facts
+}
+
+// Differences returns what has changed since a plan was made, one sentence each.
+func Differences(base, now []Fact) []string {
+	values := map[string]string{}
+	for _, fc := range now {
+		values[fc.Subject] = fc.Value
+	}
+	var differences []string
+	for _, fc := range base {
+		if values[fc.Subject] != fc.Value {
+			differences = append(differences, fmt.Sprintf("%s was %s, is %s", fc.Subject, fc.Value, values[fc.Subject]))
+		}
+	}
+	return differences
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/aspenseam/aspenseam/caller"
 	"github.com/aspenseam/aspenseam/endpoint"
+	"github.com/aspenseam/aspenseam/operator"
 	"github.com/aspenseam/aspenseam/platform"
 	"github.com/rotisserie/eris"
 )
@@ -165,14 +167,19 @@
 	cl.snapshots.Merge(rowsIn(rp.Rows), platform.Version(rp.Version))
 }
 
-// Start takes the whole snapshot of the first seed that answers and reports whether one did.
+// Start takes the snapshots of all seeds that answer, so that the newest rows of any are known, and reports whether one did.
 func (cl *Client) Start(ctx context.Context) bool {
+	var found atomic.Bool
+	var wg sync.WaitGroup
 	for _, address := range cl.opts.Seeds {
-		if cl.startFrom(ctx, address) {
-			return true
-		}
-	}
-	return false
+		wg.Go(func() {
+			if cl.startFrom(ctx, address) {
+				found.Store(true)
+			}
+		})
+	}
+	wg.Wait()
+	return found.Load()
 }
 
 func (cl *Client) startFrom(ctx context.Context, address string) bool {
@@ -186,3 +193,45 @@
 	cl.snapshots.Merge(rowsIn(rp.Rows), platform.Version(rp.Version))
 	return true
 }
+
+// Leaving asks every entry instance listed what it has for an instance that leaves, this one among them.
+func (cl *Client) Leaving(ctx context.Context, entries []platform.Member, pn platform.Pin) []operator.Ack {
+	acks := make([]operator.Ack, len(entries))
+	var wg sync.WaitGroup
+	for ix, mb := range entries {
+		wg.Go(func() { acks[ix] = cl.leaving(ctx, mb, pn) })
+	}
+	wg.Wait()
+	return acks
+}
+
+func (cl *Client) leaving(ctx context.Context, mb platform.Member, pn platform.Pin) operator.Ack {
+	ctx, cancel := cl.opts.withTimeout(ctx)
+	defer cancel()
+	rp, err := cl.at(mb.Address).Leaving(ctx, &LeavingRequest{Instance: string(pn.Instance), Epoch: uint64(pn.Epoch)})
+	if err != nil {
+		return operator.Ack{Entry: mb.ID}
+	}
+	return operator.Ack{Entry: mb.ID, Asked: true, Seen: rp.Seen, InFlight: int(rp.InFlight), Queued: int(rp.Queued)}
+}
+
+// InForce asks every entry instance listed which configuration it runs, this one among them.
+func (cl *Client) InForce(ctx context.Context, entries []platform.Member) []operator.InForce {
+	versions := make([]operator.InForce, len(entries))
+	var wg sync.WaitGroup
+	for ix, mb := range entries {
+		wg.Go(func() { versions[ix] = cl.inForce(ctx, mb) })
+	}
+	wg.Wait()
+	return versions
+}
+
+func (cl *Client) inForce(ctx context.Context, mb platform.Member) operator.InForce {
+	ctx, cancel := cl.opts.withTimeout(ctx)
+	defer cancel()
+	rp, err := cl.at(mb.Address).InForce(ctx, &InForceRequest{})
+	if err != nil {
+		return operator.InForce{Entry: mb.ID}
+	}
+	return operator.InForce{Entry: mb.ID, Version: platform.Version(rp.Version), Asked: true}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -11,6 +11,7 @@
 	"github.com/aspenseam/aspenseam/caller"
 	"github.com/aspenseam/aspenseam/event"
 	"github.com/aspenseam/aspenseam/platform"
+	"github.com/aspenseam/aspenseam/settings"
 	"go.uber.org/zap"
 )
 
@@ -35,6 +36,11 @@
 	MayGetWork(id platform.InstanceID) bool
 }
 
+// Configurations tells which configuration runs here.
+type Configurations interface {
+	InForce() (platform.Version, *settings.Fleet)
+}
+
 // Options holds what servers and clients can be built with.
 type Options struct {
 	Entry        platform.InstanceID
--- a/peer/server.go
+++ b/peer/server.go
@@ -18,11 +18,12 @@
 	snapshots Snapshots
 	flights   Flights
 	endpoints Endpoints
+	settings  Configurations
 }
 
 // NewServer returns a server of what this entry instance knows.
-func NewServer(snapshots Snapshots, flights Flights, endpoints Endpoints, options ...Option) *Server {
-	return &Server{opts: build(options), snapshots: snapshots, flights: flights, endpoints: endpoints}
+func NewServer(snapshots Snapshots, flights Flights, endpoints Endpoints, settings Configurations, options ...Option) *Server {
+	return &Server{opts: build(options), snapshots: snapshots, flights: flights, endpoints: endpoints, settings: settings}
 }
 
 // Handler returns the guarded twirp handler.
@@ -69,6 +70,12 @@
 	return &FlightResponse{State: FlightState_FLIGHT_PENDING}, nil
 }
 
+// InForce tells which configuration version runs here.
+func (sv *Server) InForce(context.Context, *InForceRequest) (*InForceResponse, error) {
+	version, _ := sv.settings.InForce()
+	return &InForceResponse{Version: uint64(version)}, nil
+}
+
 // Leaving tells whether new work may still go to an instance and what is open.
 func (sv *Server) Leaving(_ context.Context, rq *LeavingRequest) (*LeavingResponse, error) {
 	id := platform.InstanceID(rq.Instance)
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -36,6 +36,7 @@
 	entries   []*entryProcess
 	endpoints []*endpointProcess
 	members   []platform.Member
+	actions   *actions
 }
 
 type entryProcess struct {
@@ -73,6 +74,7 @@
 			fl.planEntry(fmt.Sprintf("hall%d", hall+1))
 		}
 	}
+	fl.actions = newActions(fl)
 	fl.startPlatform()
 	for _, ep := range fl.endpoints {
 		fl.startEndpoint(ep)
@@ -106,11 +108,13 @@
 func (fl *fleet) startPlatform() {
 	seed := standin.Seed{Members: fl.members}
 	seed.Services = []platform.Service{{ID: service, Slots: 8, Connections: 64, Echo: !fl.sp.noEcho, Asked: len(fl.endpoints), Budget: 2}}
+	seed.Pools = []platform.Pool{{ID: "pool1", Services: []platform.ServiceID{service}}, {ID: "pool2", Services: []platform.ServiceID{"tally"}}}
+	seed.Services = append(seed.Services, platform.Service{ID: "tally", Slots: 8, Connections: 64, Echo: true})
 	for ix, ep := range fl.endpoints {
 		seed.Instances = append(seed.Instances, platform.Instance{ID: ep.id, Hall: platform.HallID(ep.hall), Rack: platform.RackID(fmt.Sprintf("r%d", ix/4)), Pool: "pool1", Address: ep.inbound.address(), State: platform.InstanceServing, Epoch: 1, Services: []platform.ServiceID{service}})
 	}
 	file := fl.write("seed.json", seed)
-	fl.platform = startProcess(fl.t, fl.dir, "platform", "standin-platform", "--address", fl.store, "--seed", file)
+	fl.platform = startProcess(fl.t, fl.dir, "platform", "standin-platform", "--address", fl.store, "--seed", file, "--hook", fl.actions.url)
 	fl.awaitListening(fl.store)
 }
 
--- a/proof/whole_test.go
+++ b/proof/whole_test.go
@@ -77,6 +77,9 @@
 		}
 	}
 	t.Logf("%d of 30 requests met only stale replies", foreign)
+	if foreign == 0 && !strings.Contains(fl.entries[0].readLog(), "answer carried the id of another attempt") {
+		t.Error("no stale reply was brought about")
+	}
 }
 
 func TestLateAnswerIsCollectedByItsIDFromAnotherEntry(t *testing.T) {
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -23,6 +23,7 @@
 	src      []byte
 	st       *Settings
 	byPath   map[string]field
+	schema   []field
 	sections map[string]bool
 	// seen holds the places of settings by path.
 	seen     map[string]int
@@ -31,13 +32,18 @@
 
 // Parse reads settings from JSON with comments; faults are returned as Findings.
 func Parse(src []byte) (*Settings, error) {
-	ps := newParser(src)
+	return parse(src, schema, "")
+}
+
+// parse reads a document whose settings stand below a section of the schema.
+func parse(src []byte, fields []field, section string) (*Settings, error) {
+	ps := newParser(src, fields)
 	root, err := hujson.Parse(src)
 	if err != nil {
 		ps.addSyntax(err)
 		return nil, ps.findings
 	}
-	ps.walk("", root)
+	ps.walk(section, root)
 	ps.finish()
 	if len(ps.findings) > 0 {
 		sort.SliceStable(ps.findings, func(ix, jx int) bool { return ps.findings[ix].before(ps.findings[jx]) })
@@ -53,9 +59,9 @@
 	return fd.Column < other.Column
 }
 
-func newParser(src []byte) *parser {
-	ps := &parser{src: src, st: &Settings{}, byPath: map[string]field{}, sections: map[string]bool{"": true}, seen: map[string]int{}}
-	for _, fl := range schema {
+func newParser(src []byte, fields []field) *parser {
+	ps := &parser{src: src, schema: fields, st: &Settings{}, byPath: map[string]field{}, sections: map[string]bool{"": true}, seen: map[string]int{}}
+	for _, fl := range fields {
 		ps.byPath[fl.path] = fl
 		if section, _, ok := strings.Cut(fl.path, "."); ok {
 			ps.sections[section] = true
@@ -134,6 +140,9 @@
 
 // decode stores raw JSON through the target pointer.
 func decode(raw []byte, target any) error {
+	if list, isList := target.(*[]time.Duration); isList {
+		return decodeDurations(raw, list)
+	}
 	dr, isDuration := target.(*time.Duration)
 	if !isDuration {
 		dec := json.NewDecoder(bytes.NewReader(raw))
@@ -152,6 +161,21 @@
 	return nil
 }
 
+func decodeDurations(raw []byte, target *[]time.Duration) error {
+	var items []json.RawMessage
+	if err := json.Unmarshal(raw, &items); err != nil {
+		return err
+	}
+	values := make([]time.Duration, len(items))
+	for ix, item := range items {
+		if err := decode(item, &values[ix]); err != nil {
+			return err
+		}
+	}
+	*target = values
+	return nil
+}
+
 // check returns what is wrong with the stored value, or nothing.
 func (fl field) check(st *Settings) string {
 	switch vl := fl.target(st).(type) {
@@ -161,6 +185,12 @@
 		return fl.checkTexts(*vl)
 	case *[]Operator:
 		return checkOperators(*vl)
+	case *[]time.Duration:
+		for _, item := range *vl {
+			if message := outside(item, fl.low.(time.Duration), fl.high.(time.Duration)); message != "" {
+				return message
+			}
+		}
 	case *time.Duration:
 		return outside(*vl, fl.low.(time.Duration), fl.high.(time.Duration))
 	case *int:
@@ -235,7 +265,7 @@
 
 // finish fills in defaults, names missing settings and checks settings against each other.
 func (ps *parser) finish() {
-	for _, fl := range schema {
+	for _, fl := range ps.schema {
 		if _, set := ps.seen[fl.path]; set {
 			continue
 		}
@@ -261,6 +291,8 @@
 		*tg = fl.fallback.([]string)
 	case *[]Operator:
 		*tg = fl.fallback.([]Operator)
+	case *[]time.Duration:
+		*tg = fl.fallback.([]time.Duration)
 	case *time.Duration:
 		*tg = fl.fallback.(time.Duration)
 	case *int:
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -70,6 +70,22 @@
 	{path: "endpoint.goneAfter", doc: "Time of refused connections alone after which an endpoint's sessions are moved.", target: func(st *Settings) any { return &st.Endpoint.GoneAfter }, fallback: 3 * time.Second, low: 100 * time.Millisecond, high: time.Hour},
 }
 
+// fleetSection begins the paths of fleet settings; the document itself has no such section.
+const fleetSection = "fleet"
+
+// fleetSchema is the one list of fleet settings.
+var fleetSchema = []field{
+	{path: "fleet.weightMoves", doc: "Cost of each session that a plan moves.", target: func(st *Settings) any { return &st.Fleet.WeightMoves }, fallback: 1.0, low: 0.0, high: 1e6},
+	{path: "fleet.weightBuffer", doc: "Cost of each hour that an instance is out of use.", target: func(st *Settings) any { return &st.Fleet.WeightBuffer }, fallback: 1.0, low: 0.0, high: 1e6},
+	{path: "fleet.weightTime", doc: "Cost of each hour that a roll-out takes.", target: func(st *Settings) any { return &st.Fleet.WeightTime }, fallback: 1.0, low: 0.0, high: 1e6},
+	{path: "fleet.closeTimes", doc: "Times for natural ends of sessions that a plan may choose from, 0s to 24h.", target: func(st *Settings) any { return &st.Fleet.CloseTimes }, fallback: []time.Duration{0, 15 * time.Minute, time.Hour, 4 * time.Hour}, low: time.Duration(0), high: 24 * time.Hour},
+	{path: "fleet.sessionLength", doc: "Mean length of a session.", target: func(st *Settings) any { return &st.Fleet.SessionLength }, fallback: 4 * time.Hour, low: time.Second, high: 60 * 24 * time.Hour},
+	{path: "fleet.rebootTime", doc: "Time that an instance takes to stop and start.", target: func(st *Settings) any { return &st.Fleet.RebootTime }, fallback: 5 * time.Minute, low: time.Second, high: 4 * time.Hour},
+	{path: "fleet.retryShare", doc: "Retries allowed for each request, on average; goes before endpoint.retryShare.", unit: unitShare, target: func(st *Settings) any { return &st.Fleet.RetryShare }, fallback: 0.1, low: 0.0, high: 1.0},
+	{path: "fleet.ejectAfter", doc: "Failures in a row after which an endpoint is ejected; goes before endpoint.ejectAfter.", unit: unitCount, target: func(st *Settings) any { return &st.Fleet.EjectAfter }, fallback: 5, low: 1, high: 1000},
+	{path: "fleet.ejectShareMax", doc: "Largest share of a service's endpoints that may be ejected; goes before endpoint.ejectShareMax.", unit: unitShare, target: func(st *Settings) any { return &st.Fleet.EjectShareMax }, fallback: 0.5, low: 0.0, high: 1.0},
+}
+
 // typeName returns the word for the field's type that users see.
 func (fl field) typeName() string {
 	switch fl.target(&Settings{}).(type) {
@@ -81,6 +97,8 @@
 		return "list of objects"
 	case *time.Duration:
 		return "duration"
+	case *[]time.Duration:
+		return "list of durations"
 	case *int:
 		return "integer"
 	case *float64:
@@ -94,12 +112,19 @@
 	var sb strings.Builder
 	sb.WriteString("# Settings\n\nGenerated from package `settings` by `go test ./settings -update`. The file is JSON with comments; `aspenseam check FILE` reports every finding with line and column. Durations are written like `250ms`, `10s` or `5m`.\n\n")
 	sb.WriteString("| setting | type | unit | default | bounds | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
-	for _, fl := range schema {
-		fmt.Fprintf(&sb, "| `%s` | %s | %s | %s | %s | %s |\n", fl.path, fl.typeName(), fl.unit, fl.defaultText(), fl.boundsText(), fl.docText())
-	}
+	writeTable(&sb, schema, "")
+	sb.WriteString("\n## Fleet settings\n\nThese are accepted by `aspenseam settings set FILE` and are in force on every entry instance within seconds; the file holds them without a section.\n\n")
+	sb.WriteString("| setting | type | unit | default | bounds | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
+	writeTable(&sb, fleetSchema, fleetSection+".")
 	return sb.String()
 }
 
+func writeTable(sb *strings.Builder, fields []field, prefix string) {
+	for _, fl := range fields {
+		fmt.Fprintf(sb, "| `%s` | %s | %s | %s | %s | %s |\n", strings.TrimPrefix(fl.path, prefix), fl.typeName(), fl.unit, fl.defaultText(), fl.boundsText(), fl.docText())
+	}
+}
+
 func (fl field) defaultText() string {
 	switch vl := fl.fallback.(type) {
 	case nil:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,6 +24,23 @@
 	Operators []Operator
 	Caller    Caller
 	Endpoint  Endpoint
+	// Fleet is filled by ParseFleet only.
+	Fleet Fleet
+}
+
+// Fleet holds the settings that operators change for all entry instances at once, while they run.
+type Fleet struct {
+	// WeightMoves is the cost of each session moved, WeightBuffer that of each hour of an instance out of use, WeightTime that of each hour of a roll-out.
+	WeightMoves  float64
+	WeightBuffer float64
+	WeightTime   float64
+	// CloseTimes are the times for natural ends that a plan may choose from.
+	CloseTimes    []time.Duration
+	SessionLength time.Duration
+	RebootTime    time.Duration
+	RetryShare    float64
+	EjectAfter    int
+	EjectShareMax float64
 }
 
 // Entry names the instance and the addresses on which it listens.
@@ -109,6 +126,15 @@
 	return strings.Join(lines, "\n")
 }
 
+// ParseFleet reads fleet settings from JSON with comments; faults are returned as Findings.
+func ParseFleet(src []byte) (*Fleet, error) {
+	st, err := parse(src, fleetSchema, fleetSection)
+	if err != nil {
+		return nil, err
+	}
+	return &st.Fleet, nil
+}
+
 // Load reads and checks the file; a faulty one is returned as Findings.
 func Load(path string) (*Settings, error) {
 	src, err := os.ReadFile(path)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -18,8 +18,15 @@
 
 func TestParse(t *testing.T) {
 	datadriven.RunTest(t, "testdata/parse", func(t *testing.T, td *datadriven.TestData) string {
-		st, err := settings.Parse([]byte(td.Input))
 		var findings settings.Findings
+		if td.Cmd == "fleet" {
+			ft, err := settings.ParseFleet([]byte(td.Input))
+			if errors.As(err, &findings) {
+				return findings.Error()
+			}
+			return fmt.Sprintf("%+v %v", *ft, err)
+		}
+		st, err := settings.Parse([]byte(td.Input))
 		if errors.As(err, &findings) {
 			return findings.Error()
 		}
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -87,7 +87,8 @@
 	faults  EndpointFaults
 	counts  EndpointCounts
 	conns   int
-	last    map[string]string // attempt id by connection
+	// last holds what was answered last on each connection.
+	last map[string]sent
 	// journal gets a line for each execution before it begins, which outlives the process; nil without one.
 	journal io.Writer
 }
@@ -97,7 +98,7 @@
 	if slots == 0 {
 		slots = defaultSlots
 	}
-	ep := &Endpoint{id: id, slots: make(chan struct{}, slots), last: map[string]string{}}
+	ep := &Endpoint{id: id, slots: make(chan struct{}, slots), last: map[string]sent{}}
 	ep.faults.WorkMs = int(work.Milliseconds())
 	ep.counts = EndpointCounts{Executions: map[string]int{}, Sessions: map[string]int{}}
 	return ep
@@ -154,10 +155,7 @@
 	fs := ep.faults
 	ep.counts.Received++
 	ep.mu.Unlock()
-	attempt := ep.attemptToEcho(rq, fs)
-	if attempt != "" {
-		wr.Header().Set(endpoint.HeaderAttempt, attempt)
-	}
+	wr.Header().Set(endpoint.HeaderAttempt, rq.Header.Get(endpoint.HeaderAttempt))
 	if fs.Refuse != "" {
 		ep.refuse(wr, fs.Refuse)
 		return
@@ -172,7 +170,9 @@
 	}
 	ex := ep.run(rq, body, fs)
 	<-ep.slots
-	ep.answer(wr, rq, fs, ex)
+	out := ep.reply(rq, fs, ex)
+	wr.Header().Set(endpoint.HeaderAttempt, out.attempt)
+	ep.answer(wr, rq, fs, out.ex)
 }
 
 // enter takes a slot, waiting for one if the backlog has room.
@@ -191,17 +191,23 @@
 	return true
 }
 
-// attemptToEcho returns the attempt id for the answer; a stale one is that of the request before on the connection.
-func (ep *Endpoint) attemptToEcho(rq *http.Request, fs EndpointFaults) string {
-	attempt := rq.Header.Get(endpoint.HeaderAttempt)
+// sent is what an endpoint answered: the attempt that it was for and what ran.
+type sent struct {
+	attempt string
+	ex      Execution
+}
+
+// reply returns what to answer with and notes it; a stale reply is the one before on the connection.
+func (ep *Endpoint) reply(rq *http.Request, fs EndpointFaults, ex Execution) sent {
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
-	before := ep.last[rq.RemoteAddr]
-	ep.last[rq.RemoteAddr] = attempt
-	if fs.Stale && before != "" {
+	now := sent{attempt: rq.Header.Get(endpoint.HeaderAttempt), ex: ex}
+	before, any := ep.last[rq.RemoteAddr]
+	ep.last[rq.RemoteAddr] = now
+	if fs.Stale && any {
 		return before
 	}
-	return attempt
+	return now
 }
 
 func (ep *Endpoint) refuse(wr http.ResponseWriter, word string) {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -50,23 +50,26 @@
 	version platform.Version
 	rows    map[platform.RowKey]platform.Row
 	members []platform.Member
+	usage   []platform.Usage
 	stale   []platform.Member
 	objects map[string][]byte
 	steps   map[string]bool
 	faults  PlatformFaults
 	counts  PlatformCounts
-	quit    chan struct{}
+	// hook is asked, by POST to hook/action/instance, to carry out each action; empty carries out none.
+	hook string
 }
 
 // NewPlatform returns an empty healthy platform.
 func NewPlatform() *Platform {
-	return &Platform{rows: map[platform.RowKey]platform.Row{}, objects: map[string][]byte{}, steps: map[string]bool{}, quit: make(chan struct{}), counts: PlatformCounts{Actions: map[string]int{}}}
+	return &Platform{rows: map[platform.RowKey]platform.Row{}, objects: map[string][]byte{}, steps: map[string]bool{}, counts: PlatformCounts{Actions: map[string]int{}}}
 }
 
 // Seed is what a platform starts with.
 type Seed struct {
 	Instances []platform.Instance `json:"instances"`
 	Services  []platform.Service  `json:"services"`
+	Pools     []platform.Pool     `json:"pools"`
 	Members   []platform.Member   `json:"members"`
 }
 
@@ -80,6 +83,13 @@
 		}
 		writes = append(writes, platform.Write{Table: platform.TableService, Key: string(sv.ID), Value: raw})
 	}
+	for _, po := range sd.Pools {
+		raw, err := platform.Encode(po)
+		if err != nil {
+			return err
+		}
+		writes = append(writes, platform.Write{Table: platform.TablePool, Key: string(po.ID), Value: raw})
+	}
 	for _, in := range sd.Instances {
 		raw, err := platform.Encode(in)
 		if err != nil {
@@ -100,6 +110,8 @@
 	mux.HandleFunc("GET /v1/table/{table}/{key}", pl.faulty(pl.get))
 	mux.HandleFunc("GET /v1/changes", pl.faulty(pl.changes))
 	mux.HandleFunc("GET /v1/members", pl.faulty(pl.listMembers))
+	mux.HandleFunc("GET /v1/usage", pl.faulty(pl.listUsage))
+	mux.HandleFunc("PUT /control/usage", pl.setUsage)
 	mux.HandleFunc("POST /v1/tx", pl.faulty(pl.commit))
 	mux.HandleFunc("GET /v1/object/{key}", pl.faulty(pl.getObject))
 	mux.HandleFunc("PUT /v1/object/{key}", pl.faulty(pl.putObject))
@@ -180,6 +192,25 @@
 	writeJSON(wr, http.StatusOK, members)
 }
 
+func (pl *Platform) listUsage(wr http.ResponseWriter, _ *http.Request) {
+	pl.mu.Lock()
+	pl.counts.Reads++
+	usage := pl.usage
+	pl.mu.Unlock()
+	writeJSON(wr, http.StatusOK, usage)
+}
+
+func (pl *Platform) setUsage(wr http.ResponseWriter, rq *http.Request) {
+	var usage []platform.Usage
+	if !readJSON(wr, rq, &usage) {
+		return
+	}
+	pl.mu.Lock()
+	pl.usage = usage
+	pl.mu.Unlock()
+	wr.WriteHeader(http.StatusNoContent)
+}
+
 func (pl *Platform) commit(wr http.ResponseWriter, rq *http.Request) {
 	var tx platform.Tx
 	if !readJSON(wr, rq, &tx) {
@@ -288,14 +319,34 @@
 	}
 	pl.mu.Lock()
 	pl.counts.Writes++
-	if !pl.steps[step] {
+	first := !pl.steps[step]
+	if first {
 		pl.steps[step] = true
 		pl.counts.Actions[rq.PathValue("action")+" "+rq.PathValue("id")]++
 	}
 	pl.mu.Unlock()
+	if first && pl.hook != "" && !pl.carryOut(rq.PathValue("action"), rq.PathValue("id")) {
+		http.Error(wr, "hook failed", http.StatusInternalServerError)
+		return
+	}
 	wr.WriteHeader(http.StatusNoContent)
 }
 
+// SetHook names the URL that carries actions out.
+func (pl *Platform) SetHook(hook string) {
+	pl.hook = hook
+}
+
+// carryOut asks the hook and waits until it has done the action.
+func (pl *Platform) carryOut(action, id string) bool {
+	rp, err := http.Post(pl.hook+"/"+action+"/"+id, "text/plain", nil)
+	if err != nil {
+		return false
+	}
+	_ = rp.Body.Close()
+	return rp.StatusCode < http.StatusBadRequest
+}
+
 func (pl *Platform) setFaults(wr http.ResponseWriter, rq *http.Request) {
 	var fs PlatformFaults
 	if !readJSON(wr, rq, &fs) {
--- a/standins.go
+++ b/standins.go
@@ -18,11 +18,13 @@
 func standinPlatformCommand() command {
 	sub := flaggy.NewSubcommand("standin-platform")
 	sub.Description = "Run a stand-in of the platform, for trying out and for tests; it keeps everything in memory."
-	var address, seedPath string
+	var address, seedPath, hook string
 	sub.String(&address, "a", "address", "IP:port to listen on")
 	sub.String(&seedPath, "s", "seed", "file with instances, services and members to start with")
+	sub.String(&hook, "k", "hook", "URL that carries out actions on instances, by POST to URL/action/instance")
 	return command{sub, func(ctx context.Context) error {
 		pl := standin.NewPlatform()
+		pl.SetHook(hook)
 		if seedPath != "" {
 			if err := loadSeed(pl, seedPath); err != nil {
 				return err
