--- a/operator/executor.go
+++ b/operator/executor.go
@@ -14,7 +14,7 @@
 
 const (
 	defaultTick      = 500 * time.Millisecond
-	defaultLeaseFor  = 10 * time.Second
+	defaultLeaseFor  = 4 * time.Second
 	defaultFreshness = 10 * time.Second
 	commitTimeout    = 5 * time.Second
 )
--- a/proof/session_test.go
+++ b/proof/session_test.go
@@ -101,7 +101,7 @@
 	fl := newFleet(t, sp)
 	token, ep := fl.openSession(fl.entries[0])
 	ep.freeze()
-	for _, en := range fl.entries {
+	for _, en := range append(fl.entries, fl.entries...) {
 		rp := send(en.callers, inSession(token).with(caller.HeaderDeadline, deadline(400*time.Millisecond)))
 		if rp.outcome == "answered" {
 			t.Fatalf("a session of a frozen endpoint was served elsewhere: %s", rp.body)
