Executor: decisions hold only for the plan row they were made from; what is down is recorded

Cause: random fleets with frozen executors found three faults. Idle instances were taken for targets of a reboot, which would have put them into service. Change: a plan carries the version of its row; the executor writes what is down into the services' rows before it decides; reboots leave idle instances alone; ended plans are not decoded at each tick (head row).

--- a/operator/budget.go
+++ b/operator/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/aspenseam/aspenseam/platform"
 )
@@ -30,7 +29,7 @@
 		}
 		usable := ft.usableOf(sv)
 		after := usable
-		if ft.usable(in) && !slices.Contains(sv.Disrupted, in.ID) {
+		if ft.usable(in) && !taken(sv, in.ID) {
 			after--
 		}
 		if least := sv.Asked - sv.Budget; after < least && after < usable {
--- a/operator/carry.go
+++ b/operator/carry.go
@@ -59,14 +59,19 @@
 		}
 		next := sv.Service
 		next.Disrupted = change(slices.Clone(sv.Disrupted))
-		rw := sn.Rows[platform.RowKey{Table: platform.TableService, Key: string(id)}]
-		// A service that was decoded from a row encodes again.
-		raw, _ := platform.Encode(next)
-		writes = append(writes, platform.Write{Table: platform.TableService, Key: string(id), IfVersion: rw.Version, Value: raw})
+		writes = append(writes, serviceWrite(sn, next))
 	}
 	return writes
 }
 
+// serviceWrite changes a service's row as it stood in the snapshot of the decision.
+func serviceWrite(sn *platform.Snapshot, sv platform.Service) platform.Write {
+	rw := sn.Rows[platform.RowKey{Table: platform.TableService, Key: string(sv.ID)}]
+	// A service that was decoded from a row encodes again.
+	raw, _ := platform.Encode(sv)
+	return platform.Write{Table: platform.TableService, Key: string(sv.ID), IfVersion: rw.Version, Value: raw}
+}
+
 func without(id platform.InstanceID) func([]platform.InstanceID) []platform.InstanceID {
 	return func(ids []platform.InstanceID) []platform.InstanceID {
 		return slices.DeleteFunc(ids, func(other platform.InstanceID) bool { return other == id })
--- a/operator/desk.go
+++ b/operator/desk.go
@@ -138,7 +138,7 @@
 	if differences := Differences(pn.Base, Facts(ft, pn)); len(differences) > 0 {
 		return nil, &RefusedError{Message: "the fleet has changed since the plan was made; propose it again", Findings: differences}
 	}
-	if conflicts := Conflicts(PlansOf(sn), pn); len(conflicts) > 0 {
+	if conflicts := Conflicts(activePlans(sn), pn); len(conflicts) > 0 {
 		return nil, &RefusedError{Message: "another plan has instances of this one", Findings: conflicts}
 	}
 	pn.Status = PlanRunning
@@ -161,10 +161,8 @@
 func headWrite(sn *platform.Snapshot, id platform.PlanID) (platform.Write, error) {
 	rw := sn.Rows[platform.RowKey{Table: platform.TablePlan, Key: headKey}]
 	var head Head
-	for _, pn := range PlansOf(sn) {
-		if pn.Status.active() {
-			head.Active = append(head.Active, pn.ID)
-		}
+	for _, pn := range activePlans(sn) {
+		head.Active = append(head.Active, pn.ID)
 	}
 	head.Active = append(head.Active, id)
 	raw, err := platform.Encode(head)
@@ -178,6 +176,7 @@
 		return nil, 0, eris.Wrapf(ErrNotFound, "plan %s", id)
 	}
 	pn, err := platform.Decode[Plan](rw)
+	pn.version = rw.Version
 	return &pn, rw.Version, err
 }
 
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -107,7 +107,7 @@
 
 // Tick takes every active plan one step further as far as it can.
 func (ex *Executor) Tick(ctx context.Context) {
-	for _, pn := range PlansOf(ex.rows.Snapshot()) {
+	for _, pn := range activePlans(ex.rows.Snapshot()) {
 		if pn.Status == PlanRunning || pn.Status == PlanAborting {
 			ex.work(ctx, pn)
 		}
@@ -149,6 +149,9 @@
 // steps decides on every instance in reach and returns what is waited for.
 func (ex *Executor) steps(ctx context.Context, pn *Plan, usage []platform.Usage) []string {
 	var waiting []string
+	if err := ex.recordDown(ctx, pn, usage); err != nil {
+		return []string{fmt.Sprintf("what is down cannot be recorded: %v", errors.Unwrap(err))}
+	}
 	ids, wave := ex.inReach(pn, FleetOf(ex.rows.Snapshot(), usage))
 	if len(ids) == 0 {
 		ex.finish(ctx, pn)
@@ -170,6 +173,29 @@
 	return waiting
 }
 
+// recordDown writes which instances are down into the rows of the plan's services.
+// A decision that was made before, by an executor frozen since, then conflicts instead of breaking a budget.
+func (ex *Executor) recordDown(ctx context.Context, pn *Plan, usage []platform.Usage) error {
+	sn := ex.rows.Snapshot()
+	ft := FleetOf(sn, usage)
+	for _, touch := range pn.Touches {
+		sv := sn.Services[touch.Service]
+		if sv == nil {
+			continue
+		}
+		down := ft.downOf(sv.ID)
+		if slices.Equal(down, sv.Down) {
+			continue
+		}
+		next := sv.Service
+		next.Down = down
+		if err := ex.commit(ctx, pn, "seenDown", string(sv.ID), serviceWrite(sn, next)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // inReach returns the instances of the current wave, or all that an aborting plan still holds.
 func (ex *Executor) inReach(pn *Plan, ft *Fleet) ([]platform.InstanceID, Wave) {
 	if pn.Status == PlanAborting {
@@ -206,7 +232,7 @@
 
 // successors returns where an instance's sessions may go without being moved again.
 func (ex *Executor) successors(pn *Plan, sn *platform.Snapshot, in *platform.Instance) map[platform.ServiceID][]platform.Pin {
-	plans := PlansOf(sn)
+	plans := activePlans(sn)
 	return sn.Successors(*in, func(other *platform.Instance) bool {
 		return !sn.Gone(other.ID) && mayTake(pn, plans, other)
 	})
@@ -304,10 +330,9 @@
 	ex.rows.Poll()
 }
 
-// planWrite changes the plan's row; without a change it only checks that nobody else has changed it.
+// planWrite changes the plan's row; without a change it only checks that the row is still the one that was decided from.
 func (ex *Executor) planWrite(pn *Plan, next *Plan) platform.Write {
-	rw := ex.rows.Snapshot().Rows[platform.RowKey{Table: platform.TablePlan, Key: string(pn.ID)}]
-	wt := platform.Write{Table: platform.TablePlan, Key: string(pn.ID), IfVersion: rw.Version, Check: next == nil}
+	wt := platform.Write{Table: platform.TablePlan, Key: string(pn.ID), IfVersion: pn.version, Check: next == nil}
 	if next != nil {
 		// A plan that was decoded from a row encodes again.
 		wt.Value, _ = platform.Encode(next)
@@ -315,6 +340,25 @@
 	return wt
 }
 
+// activePlans returns the plans that may hold instances, by the head row; plans that ended are not decoded.
+func activePlans(sn *platform.Snapshot) []*Plan {
+	rw, known := sn.Rows[platform.RowKey{Table: platform.TablePlan, Key: headKey}]
+	if !known {
+		return nil
+	}
+	head, err := platform.Decode[Head](rw)
+	if err != nil {
+		return nil
+	}
+	var plans []*Plan
+	for _, id := range head.Active {
+		if pn, _, err := planOf(sn, id); err == nil && pn.Status.active() {
+			plans = append(plans, pn)
+		}
+	}
+	return plans
+}
+
 // PlansOf returns the plans of a snapshot by age, the oldest first.
 func PlansOf(sn *platform.Snapshot) []*Plan {
 	var plans []*Plan
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -65,9 +65,25 @@
 func (ft *Fleet) usableOf(sv *platform.Service) int {
 	count := 0
 	for _, in := range ft.Instances {
-		if slices.Contains(in.Services, sv.ID) && ft.usable(in) && !slices.Contains(sv.Disrupted, in.ID) {
+		if slices.Contains(in.Services, sv.ID) && ft.usable(in) && !taken(sv, in.ID) {
 			count++
 		}
 	}
 	return count
 }
+
+// taken reports whether a service's row counts an instance as out: by a plan's hand, or seen down.
+func taken(sv *platform.Service, id platform.InstanceID) bool {
+	return slices.Contains(sv.Disrupted, id) || slices.Contains(sv.Down, id)
+}
+
+// downOf returns the instances of a service that the membership does not list, sorted.
+func (ft *Fleet) downOf(id platform.ServiceID) []platform.InstanceID {
+	var down []platform.InstanceID
+	for _, in := range ft.Instances {
+		if ft.Down[in.ID] && slices.Contains(in.Services, id) {
+			down = append(down, in.ID)
+		}
+	}
+	return down
+}
--- a/operator/plan.go
+++ b/operator/plan.go
@@ -72,6 +72,8 @@
 	Touches   []Touch         `json:"touches"`
 	// Base is what the plan was made from.
 	Base []Fact `json:"base"`
+	// version is that of the row which the plan was decoded from; whatever is decided from the plan holds only while the row is at it.
+	version platform.Version
 }
 
 // Wave is the instances that are out of service together.
--- a/operator/planner.go
+++ b/operator/planner.go
@@ -120,7 +120,7 @@
 	switch it.Kind {
 	case KindReturn:
 		return in.State == platform.InstanceIdle
-	case KindDrain:
+	case KindReboot, KindDrain:
 		return in.State != platform.InstanceIdle
 	case KindMove:
 		return in.Pool != it.ToPool
--- a/proof/plan_test.go
+++ b/proof/plan_test.go
@@ -273,11 +273,13 @@
 	fl := newFleet(t, shape{halls: 2, entries: 2, endpoints: 2, workMs: 5})
 	fl.acceptSettings(quickPlans)
 	kills := 0
-	fl.actions.during = func(action string, id platform.InstanceID) {
-		// Whoever asked for the action dies before it hears that it was done.
-		if kills >= 6 {
+	byAction := map[string]int{}
+	fl.actions.during = func(action string, _ platform.InstanceID) {
+		// Whoever asked for the action dies before it hears that it was done, twice for each kind of action.
+		if byAction[action] >= 2 {
 			return
 		}
+		byAction[action]++
 		for _, en := range fl.entries {
 			vw, err := en.desk().Plans(context.Background())
 			if err != nil || len(vw) == 0 {
