Operator's command line, waves measured on whole fleets

Ruled out: the weights alone; with time weighed higher the serial waits stayed. Change: a wave that waits takes one instance of each service; buffer is weighed by its peak and counted by what is unused; a plan longer than the maintenance period is chosen only if none is shorter.

--- a/main.go
+++ b/main.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/aspenseam/aspenseam/operator"
 	"github.com/aspenseam/aspenseam/settings"
 	"github.com/integrii/flaggy"
 )
@@ -19,6 +21,9 @@
 	exitFailed   = 1
 	exitUsage    = 2
 	exitFindings = 3
+	exitRefused  = 4
+	// exitUnauthorized says that the token is not known.
+	exitUnauthorized = 5
 )
 
 const version = "0.1.0"
@@ -40,7 +45,7 @@
 	parser := flaggy.NewParser("aspenseam")
 	parser.Description = "Fleet capacity and maintenance manager."
 	parser.Version = version
-	commands := []command{entryCommand(), checkCommand(), standinPlatformCommand(), standinEndpointCommand()}
+	commands := append([]command{entryCommand(), checkCommand(), standinPlatformCommand(), standinEndpointCommand()}, operatorCommands()...)
 	for _, cm := range commands {
 		parser.AttachSubcommand(cm.sub, 1)
 	}
@@ -64,8 +69,14 @@
 	}
 	fmt.Fprintln(os.Stderr, err)
 	var findings settings.Findings
-	if errors.As(err, &findings) {
+	var refused *operator.CallError
+	switch {
+	case errors.As(err, &findings):
 		return exitFindings
+	case errors.As(err, &refused) && refused.Status == http.StatusConflict:
+		return exitRefused
+	case errors.As(err, &refused) && refused.Status == http.StatusUnauthorized:
+		return exitUnauthorized
 	}
 	return exitFailed
 }
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -148,7 +148,7 @@
 func PlannerOf(ft *settings.Fleet) Planner {
 	return Planner{
 		Weights: Weights{Moves: ft.WeightMoves, Buffer: ft.WeightBuffer, Time: ft.WeightTime},
-		Pace:    Pace{SessionLength: ft.SessionLength, RebootTime: ft.RebootTime, CloseTimes: ft.CloseTimes},
+		Pace:    Pace{SessionLength: ft.SessionLength, RebootTime: ft.RebootTime, CloseTimes: ft.CloseTimes, Longest: ft.LongestPlan},
 	}
 }
 
--- a/operator/plan.go
+++ b/operator/plan.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/aspenseam/aspenseam/platform"
@@ -100,7 +101,7 @@
 type Estimate struct {
 	// Moves is the number of sessions that will move.
 	Moves int `json:"moves"`
-	// BufferPeak is the most instances out of use at once; BufferHours sums instances times hours.
+	// BufferPeak is the most instances out of use at once; BufferHours sums the unused hours of instances.
 	BufferPeak  int     `json:"bufferPeak"`
 	BufferHours float64 `json:"bufferHours"`
 	// LengthMs is the expected length in milliseconds.
@@ -131,6 +132,16 @@
 	Waiting     []string             `json:"waiting,omitempty"`
 }
 
+// has reports whether the plan works on an instance.
+func (pn *Plan) has(id platform.InstanceID) bool {
+	for _, wv := range pn.Waves {
+		if slices.Contains(wv.Instances, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // instances returns all instances of the plan in the order of its waves.
 func (pn *Plan) instances() []platform.InstanceID {
 	var all []platform.InstanceID
--- a/operator/planner.go
+++ b/operator/planner.go
@@ -14,11 +14,14 @@
 // parallelSteps makes the numbers that are weighed grow by a quarter, so that large fleets need few.
 const parallelSteps = 4
 
+// tooLong is the cost of each hour of a plan that takes longer than allowed, above any weight.
+const tooLong = 1e9
+
 // Weights say how much an operator minds each cost.
 type Weights struct {
 	// Moves is for each session that is moved.
 	Moves float64
-	// Buffer is for each hour that an instance is out of use.
+	// Buffer is for each instance that must be spare, which is the most that are out of use at once.
 	Buffer float64
 	// Time is for each hour that the roll-out takes.
 	Time float64
@@ -32,6 +35,8 @@
 	RebootTime time.Duration
 	// CloseTimes are the times for natural ends that may be chosen.
 	CloseTimes []time.Duration
+	// Longest is how long a roll-out may take; 0 sets no bound.
+	Longest time.Duration
 }
 
 // Planner makes plans; it does no input or output.
@@ -159,10 +164,14 @@
 	return sum
 }
 
-// cost weighs an estimate.
+// cost weighs an estimate; a plan that takes longer than allowed is chosen only if none is shorter.
 func (pl *Planner) cost(es Estimate) float64 {
-	hours := float64(es.LengthMs) / float64(time.Hour.Milliseconds())
-	return pl.Weights.Moves*float64(es.Moves) + pl.Weights.Buffer*es.BufferHours + pl.Weights.Time*hours
+	length := time.Duration(es.LengthMs) * time.Millisecond
+	cost := pl.Weights.Moves*float64(es.Moves) + pl.Weights.Buffer*float64(es.BufferPeak) + pl.Weights.Time*length.Hours()
+	if pl.Pace.Longest > 0 && length > pl.Pace.Longest {
+		cost += tooLong * length.Hours()
+	}
+	return cost
 }
 
 // impossible returns the budgets that an intent would break for good.
@@ -252,23 +261,17 @@
 }
 
 // next adds one wave: as many of the first targets as the budgets, the strategy and the room for their sessions allow.
+// If none fits, the first target of each service goes, and its sessions end by themselves: moved ones would have to move again.
 func (dr *draft) next() {
-	var wv Wave
-	out := map[platform.ServiceID]int{}
-	var rest, taken []*platform.Instance
-	for _, in := range dr.left {
-		full := len(taken) >= dr.strategy.Parallel && dr.ft.usable(in)
-		if full || !dr.fits(in, out) || !dr.takeRoom(in) {
-			rest = append(rest, in)
-			continue
-		}
-		dr.count(in, out)
-		taken = append(taken, in)
+	taken, rest := dr.choose(dr.takeRoom)
+	wv := Wave{}
+	if len(taken) == 0 {
+		taken, rest = dr.choose(dr.onePerService())
+		wv.NaturalOnly = true
 	}
 	if len(taken) == 0 {
-		// Nothing fits: the first target goes alone, and its sessions end by themselves.
+		// The budgets forbid it now; the executor waits until they allow it.
 		taken, rest = dr.left[:1], dr.left[1:]
-		wv.NaturalOnly = dr.ft.open(taken[0].ID) > 0
 	}
 	for _, in := range taken {
 		wv.Instances = append(wv.Instances, in.ID)
@@ -278,6 +281,39 @@
 	dr.left = rest
 }
 
+// choose takes targets up to the strategy's number that the budgets and a further rule allow.
+func (dr *draft) choose(allowed func(*platform.Instance) bool) (taken, rest []*platform.Instance) {
+	out := map[platform.ServiceID]int{}
+	for ix, in := range dr.left {
+		if len(taken) >= dr.strategy.Parallel && dr.ft.usable(in) {
+			return taken, append(rest, dr.left[ix:]...)
+		}
+		if !dr.fits(in, out) || !allowed(in) {
+			rest = append(rest, in)
+			continue
+		}
+		dr.count(in, out)
+		taken = append(taken, in)
+	}
+	return taken, rest
+}
+
+// onePerService allows the first instance that is asked about for each service.
+func (dr *draft) onePerService() func(*platform.Instance) bool {
+	seen := map[platform.ServiceID]bool{}
+	return func(in *platform.Instance) bool {
+		for _, id := range in.Services {
+			if seen[id] {
+				return false
+			}
+		}
+		for _, id := range in.Services {
+			seen[id] = true
+		}
+		return true
+	}
+}
+
 // finish notes that an instance has been dealt with: it can take sessions again, or is gone for good.
 func (dr *draft) finish(in *platform.Instance) {
 	switch {
@@ -341,25 +377,34 @@
 	for _, wv := range pn.Waves {
 		wait, sessions := pn.Strategy.closeFor(), 0
 		for _, id := range wv.Instances {
-			if !wv.NaturalOnly {
-				sessions += pl.remaining(ft.open(id), pn.Strategy)
+			open := ft.open(id)
+			if wv.NaturalOnly {
+				wait = max(wait, pl.untilNone(open))
+				continue
 			}
-		}
-		if wv.NaturalOnly {
-			wait = max(wait, pl.untilNone(ft.open(wv.Instances[0])))
+			sessions += pl.remaining(open, pn.Strategy)
 		}
 		if it.Kind != KindReturn {
 			es.Moves += sessions
 		}
-		waveTime := wait + pl.Pace.RebootTime
-		length += waveTime
+		length += wait + pl.Pace.RebootTime
 		es.BufferPeak = max(es.BufferPeak, len(wv.Instances))
-		es.BufferHours += float64(len(wv.Instances)) * waveTime.Hours()
+		es.BufferHours += float64(len(wv.Instances)) * (pl.idle(wait) + pl.Pace.RebootTime).Hours()
 	}
 	es.LengthMs = length.Milliseconds()
 	return es
 }
 
+// idle returns how much of an instance's time is unused while it takes no new sessions for so long: its sessions thin out exponentially.
+func (pl *Planner) idle(wait time.Duration) time.Duration {
+	length := pl.Pace.SessionLength
+	if length <= 0 || wait <= 0 {
+		return 0
+	}
+	used := length.Seconds() * (1 - math.Exp(-wait.Seconds()/length.Seconds()))
+	return wait - time.Duration(used*float64(time.Second))
+}
+
 // untilNone returns when the last of so many sessions is expected to end by itself.
 func (pl *Planner) untilNone(sessions int) time.Duration {
 	harmonic := 0.0
--- a/operator/step.go
+++ b/operator/step.go
@@ -133,7 +133,7 @@
 	open := ip.Fleet.open(ip.In.ID)
 	waited := ip.Now.Sub(ip.In.Hold.Since)
 	switch {
-	case open > 0 && ip.Wave.NaturalOnly:
+	case open > 0 && ip.Wave.NaturalOnly && !ip.Successors:
 		return Decision{MoveWait, fmt.Sprintf("instance %s: %d sessions must end by themselves, since moving them would move them twice", ip.In.ID, open)}
 	case open > 0 && waited < ip.Plan.Strategy.closeFor():
 		return Decision{MoveWait, fmt.Sprintf("instance %s: %d sessions may end by themselves for %v more", ip.In.ID, open, (ip.Plan.Strategy.closeFor() - waited).Round(time.Second))}
@@ -215,11 +215,11 @@
 	if in.Hold != nil {
 		return false
 	}
-	if slices.Contains(pn.instances(), in.ID) && in.Done != pn.ID {
+	if in.Done != pn.ID && pn.has(in.ID) {
 		return false
 	}
 	for _, other := range others {
-		if other.ID != pn.ID && other.Status.active() && slices.Contains(other.instances(), in.ID) && in.Done != other.ID {
+		if other.ID != pn.ID && other.Status.active() && in.Done != other.ID && other.has(in.ID) {
 			return false
 		}
 	}
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -46,3 +46,21 @@
     -d '{"boards":12}' "http://127.0.0.1:1711$n/boards/reserve"
   echo
 done
+
+export ASPENSEAM_ADDRESS=127.0.0.1:17311 ASPENSEAM_TOKEN=quickstart-token-not-for-use
+as() { "$dir/aspenseam" "$@"; }
+echo "== an operator plans the reboot of a rack"
+as plan reboot --rack plovdiv-r1 --why 'kernel update'
+id=$(as plans --json | sed -n 's/^    "id": "\(.*\)",$/\1/p' | head -n 1)
+echo "== and confirms it; requests go on while it is carried out"
+as confirm "$id"
+answered=0
+for _ in $(seq 600); do
+  outcome=$(curl -s -o "$dir/answer" -w '%header{aspenseam-outcome}' -H 'Aspenseam-Service: books' http://127.0.0.1:17112/logs/oak)
+  [ "$outcome" = answered ] && answered=$((answered + 1))
+  as plans "$id" | grep -q 'status.*done' && break
+  sleep 0.02
+done
+echo "requests answered meanwhile: $answered"
+as plans "$id"
+as audit
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -76,11 +76,12 @@
 // fleetSchema is the one list of fleet settings.
 var fleetSchema = []field{
 	{path: "fleet.weightMoves", doc: "Cost of each session that a plan moves.", target: func(st *Settings) any { return &st.Fleet.WeightMoves }, fallback: 1.0, low: 0.0, high: 1e6},
-	{path: "fleet.weightBuffer", doc: "Cost of each hour that an instance is out of use.", target: func(st *Settings) any { return &st.Fleet.WeightBuffer }, fallback: 1.0, low: 0.0, high: 1e6},
+	{path: "fleet.weightBuffer", doc: "Cost of each instance that must be spare: the most that a plan has out of use at once.", target: func(st *Settings) any { return &st.Fleet.WeightBuffer }, fallback: 1.0, low: 0.0, high: 1e6},
 	{path: "fleet.weightTime", doc: "Cost of each hour that a roll-out takes.", target: func(st *Settings) any { return &st.Fleet.WeightTime }, fallback: 1.0, low: 0.0, high: 1e6},
 	{path: "fleet.closeTimes", doc: "Times for natural ends of sessions that a plan may choose from, 0s to 24h.", target: func(st *Settings) any { return &st.Fleet.CloseTimes }, fallback: []time.Duration{0, 15 * time.Minute, time.Hour, 4 * time.Hour}, low: time.Duration(0), high: 24 * time.Hour},
 	{path: "fleet.sessionLength", doc: "Mean length of a session.", target: func(st *Settings) any { return &st.Fleet.SessionLength }, fallback: 4 * time.Hour, low: time.Second, high: 60 * 24 * time.Hour},
 	{path: "fleet.rebootTime", doc: "Time that an instance takes to stop and start.", target: func(st *Settings) any { return &st.Fleet.RebootTime }, fallback: 5 * time.Minute, low: time.Second, high: 4 * time.Hour},
+	{path: "fleet.longestPlan", doc: "Time that a plan may take; a longer one is proposed only if none is shorter.", target: func(st *Settings) any { return &st.Fleet.LongestPlan }, fallback: 28 * 24 * time.Hour, low: time.Minute, high: 366 * 24 * time.Hour},
 	{path: "fleet.retryShare", doc: "Retries allowed for each request, on average; goes before endpoint.retryShare.", unit: unitShare, target: func(st *Settings) any { return &st.Fleet.RetryShare }, fallback: 0.1, low: 0.0, high: 1.0},
 	{path: "fleet.ejectAfter", doc: "Failures in a row after which an endpoint is ejected; goes before endpoint.ejectAfter.", unit: unitCount, target: func(st *Settings) any { return &st.Fleet.EjectAfter }, fallback: 5, low: 1, high: 1000},
 	{path: "fleet.ejectShareMax", doc: "Largest share of a service's endpoints that may be ejected; goes before endpoint.ejectShareMax.", unit: unitShare, target: func(st *Settings) any { return &st.Fleet.EjectShareMax }, fallback: 0.5, low: 0.0, high: 1.0},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,7 +30,7 @@
 
 // Fleet holds the settings that operators change for all entry instances at once, while they run.
 type Fleet struct {
-	// WeightMoves is the cost of each session moved, WeightBuffer that of each hour of an instance out of use, WeightTime that of each hour of a roll-out.
+	// WeightMoves is the cost of each session moved, WeightBuffer that of each instance that must be spare, WeightTime that of each hour of a roll-out.
 	WeightMoves  float64
 	WeightBuffer float64
 	WeightTime   float64
@@ -38,6 +38,7 @@
 	CloseTimes    []time.Duration
 	SessionLength time.Duration
 	RebootTime    time.Duration
+	LongestPlan   time.Duration
 	RetryShare    float64
 	EjectAfter    int
 	EjectShareMax float64
