Tickets for unrepeatable requests in a platform outage; start from peers measured

Weighed: refusal is safe and serves nothing; a claim needs the platform; a ticket that one run of an entry instance issued and alone honours from memory needs none, and costs the answer 'unknown' when its issuer is gone. Change: tickets are signed request ids; other entry instances pass the request on to the issuer; a ticket is spent before the first byte and remembered until it expires; 10000 at a time and instance bound the memory.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -83,6 +83,8 @@
 	Body     []byte
 	// Named says that the caller gave the request id.
 	Named bool
+	// ticket is set when the request id is a ticket.
+	ticket *ticket
 }
 
 // Key returns the place of the request's claim row.
@@ -124,4 +126,6 @@
 	Flight(ctx context.Context, owner platform.InstanceID, key Key, nonce Nonce) (Word, error)
 	// Collect asks all for a kept answer.
 	Collect(ctx context.Context, key Key) (Word, error)
+	// Forward lets the issuer of a request's ticket run it.
+	Forward(ctx context.Context, issuer platform.InstanceID, req *Request) (Word, error)
 }
--- a/caller/code.go
+++ b/caller/code.go
@@ -31,6 +31,7 @@
 	CodeOwnerLost      Code = "ownerLost"
 	CodeAnswerNotKept  Code = "answerNotKept"
 	CodeNoAnswer       Code = "noAnswer"
+	CodeTicketSpent    Code = "ticketSpent"
 )
 
 // Errors that end a request before it is sent.
@@ -65,6 +66,8 @@
 	{errSessionEnded, CodeSessionEnded, http.StatusGone},
 	{errPast, CodeDeadlinePassed, http.StatusBadRequest},
 	{errNoAnswer, CodeNoAnswer, http.StatusNotFound},
+	{errTicketSpent, CodeTicketSpent, http.StatusBadGateway},
+	{errTicket, CodeBadRequest, http.StatusBadRequest},
 	{errBusy, CodeOverloaded, http.StatusServiceUnavailable},
 	{endpoint.ErrUnknownService, CodeUnknownService, http.StatusNotFound},
 	{endpoint.ErrNoEndpoint, CodeNoEndpoint, http.StatusServiceUnavailable},
--- a/caller/fakes_test.go
+++ b/caller/fakes_test.go
@@ -111,6 +111,10 @@
 	return caller.Word{}, errors.New("no peer")
 }
 
+func (noPeers) Forward(context.Context, platform.InstanceID, *caller.Request) (caller.Word, error) {
+	return caller.Word{}, errors.New("no peer")
+}
+
 func newServer(fr *fakeRouter, fs *fakeStore, options ...caller.Option) *caller.Server {
 	options = append([]caller.Option{caller.WithKeys("0123456789abcdef"), caller.WithEntry("e1", "i1")}, options...)
 	return caller.NewServer(fr, fakeSnapshots{}, fs, noPeers{}, options...)
--- a/caller/intake.go
+++ b/caller/intake.go
@@ -55,6 +55,7 @@
 	req.ID = RequestID(rd.name(HeaderRequestID, ""))
 	req.Named = req.ID != ""
 	req.Mark = rd.mark(req.Named)
+	req.ticket = rd.ticket(sv.signer, req)
 	req.Try = rd.try()
 	req.Deadline = rd.deadline()
 	req.Session = rd.session(sv.signer, req.Service)
@@ -122,6 +123,18 @@
 	return MarkSingle
 }
 
+// ticket returns the ticket that a request id is, nil for an ordinary id.
+func (rd *reader) ticket(sg *Signer, req *Request) *ticket {
+	tk, err := sg.openTicket(req.ID)
+	if err != nil {
+		rd.add("%s begins like a ticket, and the ticket is not of this fleet", HeaderRequestID)
+	}
+	if tk != nil && req.Mark != MarkUnrepeatable {
+		rd.add("a ticket is for a request with %s: %s", HeaderRepeat, RepeatNo)
+	}
+	return tk
+}
+
 func (rd *reader) try() int {
 	text := rd.rq.Header.Get(HeaderTry)
 	if text == "" {
--- a/caller/server.go
+++ b/caller/server.go
@@ -35,6 +35,7 @@
 	signer    *Signer
 	records   *records
 	claims    *claims
+	tickets   *tickets
 	stopping  atomic.Bool
 	open      atomic.Int64
 	tasks     sync.WaitGroup
@@ -51,6 +52,7 @@
 	sv := &Server{opts: opts, router: router, snapshots: snapshots, peers: peers, signer: NewSigner(opts.Keys...)}
 	sv.records = newRecords(&sv.opts)
 	sv.claims = newClaims(store, &sv.opts)
+	sv.tickets = newTickets(&sv.opts, sv.signer)
 	return sv
 }
 
@@ -61,6 +63,8 @@
 	switch {
 	case rq.URL.Path == readyPath:
 		sv.serveReady(wr)
+	case rq.URL.Path == TicketPath:
+		sv.serveTicket(wr)
 	case strings.HasPrefix(rq.URL.Path, CollectPath):
 		sv.collect(wr, rq)
 	default:
@@ -143,8 +147,14 @@
 		if req.Mark != MarkUnrepeatable {
 			return word
 		}
+		if req.ticket != nil {
+			return sv.refuseTicket(req, word)
+		}
 		return (&once{sv: sv, req: req, key: req.Key()}).refuse(ctx, word)
 	}
+	if req.ticket != nil {
+		return sv.runTicket(ctx, req)
+	}
 	if req.Mark == MarkUnrepeatable {
 		return sv.runOnce(ctx, req)
 	}
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -253,11 +253,12 @@
 func (ex *Executor) finish(ctx context.Context, pn *Plan) {
 	next := *pn
 	next.Status = PlanDone
+	action := "planDone"
 	if pn.Status == PlanAborting {
-		next.Status = PlanAborted
+		next.Status, action = PlanAborted, "planAborted"
 	}
 	// Another executor may have finished it first.
-	_ = ex.commit(ctx, pn, "plan"+string(next.Status), string(pn.ID), ex.planWrite(pn, &next))
+	_ = ex.commit(ctx, pn, action, string(pn.ID), ex.planWrite(pn, &next))
 }
 
 // leaseOf returns the lease of a plan and whether this executor may work on it.
--- a/peer/client.go
+++ b/peer/client.go
@@ -33,6 +33,7 @@
 	http      *http.Client
 	mu        sync.Mutex
 	clients   map[string]Peer
+	signer    *caller.Signer
 }
 
 // NewClient returns a client that finds its peers in the snapshot's membership.
@@ -46,7 +47,7 @@
 	if len(opts.Keys) > 0 {
 		key = opts.Keys[0]
 	}
-	return &Client{opts: opts, snapshots: snapshots, http: &http.Client{Transport: keyed{key, transport}}, clients: map[string]Peer{}}
+	return &Client{opts: opts, snapshots: snapshots, http: &http.Client{Transport: keyed{key, transport}}, clients: map[string]Peer{}, signer: caller.NewSigner(opts.Keys...)}
 }
 
 // peers returns the addresses of the other entry instances by id.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"net/http"
-
 	"github.com/aspenseam/aspenseam/endpoint"
 	"github.com/aspenseam/aspenseam/platform"
 )
@@ -40,17 +38,9 @@
 }
 
 func answerOut(an *endpoint.Answer) *Answer {
-	out := &Answer{Status: int32(an.Status), Body: an.Body}
-	for name, values := range an.Header {
-		out.Header = append(out.Header, &Header{Name: name, Values: values})
-	}
-	return out
+	return &Answer{Status: int32(an.Status), Header: headersOut(an.Header), Body: an.Body}
 }
 
 func answerIn(an *Answer) *endpoint.Answer {
-	in := &endpoint.Answer{Status: int(an.Status), Header: http.Header{}, Body: an.Body}
-	for _, hd := range an.Header {
-		in.Header[hd.Name] = hd.Values
-	}
-	return in
+	return &endpoint.Answer{Status: int(an.Status), Header: headersIn(an.Header), Body: an.Body}
 }
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -37,6 +37,8 @@
 	endpoints []*endpointProcess
 	members   []platform.Member
 	actions   *actions
+	// noSeeds starts entry instances that know no peer.
+	noSeeds bool
 }
 
 type entryProcess struct {
@@ -172,7 +174,7 @@
 func (fl *fleet) startEntry(en *entryProcess) {
 	seeds := []string{}
 	for _, other := range fl.entries {
-		if other != en {
+		if other != en && !fl.noSeeds {
 			seeds = append(seeds, other.inbound.address())
 		}
 	}
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -34,7 +34,7 @@
 	fl     *fleet
 	t      *testing.T
 	until  time.Time
-	counts [8]atomic.Int64
+	counts [9]atomic.Int64
 	mu     sync.Mutex
 	faults map[string]int
 	// notRun holds the requests whose last word was that they did not run.
@@ -53,6 +53,7 @@
 	countTries
 	countSessionRequests
 	countSessionMoves
+	countTickets
 )
 
 func TestSoak(t *testing.T) {
@@ -79,10 +80,14 @@
 	for time.Now().Before(sk.until) {
 		sk.counts[countSent].Add(1)
 		id := platform.NewID()
+		if rnd.IntN(4) == 0 {
+			id = sk.ticketOr(rnd, id)
+		}
 		ak := unrepeatable(id)
 		ak.timeout = soakPatience
 		ak.body = id
-		if rnd.IntN(3) == 0 {
+		if ak.headers[caller.HeaderRequestID] == id && rnd.IntN(3) == 0 {
+			id = platform.NewID()
 			ak = ask{method: http.MethodGet, path: "/logs", timeout: soakPatience, headers: map[string]string{caller.HeaderRequestID: id, caller.HeaderCaller: "clerk7"}}
 			if rnd.IntN(4) == 0 {
 				ak.path = "/logs?size=400000"
@@ -92,6 +97,17 @@
 	}
 }
 
+// ticketOr returns a ticket for the request if one can be had.
+func (sk *soak) ticketOr(rnd *rand.Rand, id string) string {
+	rp := send(sk.entry(rnd).callers, ask{method: http.MethodGet, path: caller.TicketPath, timeout: soakPatience})
+	var ta caller.TicketAnswer
+	if rp.err != nil || json.Unmarshal(rp.body, &ta) != nil || ta.Ticket == "" {
+		return id
+	}
+	sk.counts[countTickets].Add(1)
+	return ta.Ticket
+}
+
 func (sk *soak) untilSettled(rnd *rand.Rand, ak ask, id string) {
 	counts := rnd.IntN(2) == 0 // half of the callers say which try it is
 	for try := range 4 {
@@ -299,7 +315,7 @@
 		}
 	}
 	get := func(ix int) int64 { return sk.counts[ix].Load() }
-	sk.t.Logf("seed %d, %v: %d requests in %d tries: %d answered, %d not run, %d unknown, %d without a word; %d unrepeatable executions; %d session requests, %d session moves", *soakSeed, *soakFor, get(countSent), get(countTries), get(countAnswered), get(countNotRun), get(countUnknown), get(countNoWord), unrepeatableRuns, get(countSessionRequests), get(countSessionMoves))
+	sk.t.Logf("seed %d, %v: %d requests in %d tries: %d answered, %d not run, %d unknown, %d without a word; %d unrepeatable executions, %d tickets; %d session requests, %d session moves", *soakSeed, *soakFor, get(countSent), get(countTries), get(countAnswered), get(countNotRun), get(countUnknown), get(countNoWord), unrepeatableRuns, get(countTickets), get(countSessionRequests), get(countSessionMoves))
 	sk.t.Logf("faults: %s", fmt.Sprint(sk.faults))
 	if get(countAnswered) < get(countSent)/2 {
 		sk.t.Errorf("only %d of %d requests were answered", get(countAnswered), get(countSent))
