Jobs: placement under a lease, learned sizes, judged workers and jobs

Change: package worker decides on jobs: urgent first, teams by their quotas, sizes corrected by what was used, workers quarantined where many different jobs fail, jobs given up that fail on many good workers, cancellations by one row a wave; every group of rows is written under a check of the placer's lease row. Not there yet: the calls to real workers, and the operators' calls for jobs.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -30,6 +30,12 @@
 	ConfigurationSeen = Kind{605, "configuration in force", zapcore.InfoLevel, "Nothing."}
 )
 
+// Events of jobs, 7xx.
+var (
+	PlacementFailed   = Kind{701, "a round of placement failed", zapcore.WarnLevel, "Nothing if it passes; jobs that run go on under their leases."}
+	WorkerQuarantined = Kind{702, "worker quarantined: many different jobs failed there", zapcore.WarnLevel, "Look at the worker named; after the quarantine one job tries it."}
+)
+
 // Catalogue lists every event by number.
 var Catalogue = []Kind{
 	ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed, StopForced,
@@ -38,4 +44,5 @@
 	EndpointEjected, EndpointReturned, EndpointLeaving, AnswerForeign, SessionsMoved,
 	PeerRejected,
 	OperatorRejected, PlanAccepted, PlanStep, PlanWaiting, ConfigurationSeen,
+	PlacementFailed, WorkerQuarantined,
 }
--- a/operator/bed_test.go
+++ b/operator/bed_test.go
@@ -150,6 +150,13 @@
 	return wd.down[id] && time.Since(wd.failedAt[id]) > lagAllowed
 }
 
+// truth returns the fleet for those who do not hold the lock.
+func (wd *world) truth() *operator.Fleet {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	return wd.fleet()
+}
+
 // checkCommit wants that no commit takes an instance out beyond a budget, and that an instance is one plan's and one pool's.
 func (wd *world) checkCommit(before, after *operator.Fleet) {
 	for _, in := range after.Instances {
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -21,6 +21,8 @@
 	// workMs is how long each execution takes.
 	workMs int
 	noEcho bool
+	// ghosts is the number of instances that have rows and no process, in so many pools.
+	ghosts, ghostPools int
 	// settings are merged over the usual ones, by section.
 	settings map[string]map[string]any
 }
@@ -115,11 +117,26 @@
 	for ix, ep := range fl.endpoints {
 		seed.Instances = append(seed.Instances, platform.Instance{ID: ep.id, Hall: platform.HallID(ep.hall), Rack: platform.RackID(fmt.Sprintf("r%d", ix/4)), Pool: "pool1", Address: ep.inbound.address(), State: platform.InstanceServing, Epoch: 1, Services: []platform.ServiceID{service}})
 	}
+	fl.addGhosts(&seed)
 	file := fl.write("seed.json", seed)
 	fl.platform = startProcess(fl.t, fl.dir, "platform", "standin-platform", "--address", fl.store, "--seed", file, "--hook", fl.actions.url)
 	fl.awaitListening(fl.store)
 }
 
+// addGhosts adds instances that only the control side sees, for measuring it at a size that this machine cannot run.
+func (fl *fleet) addGhosts(seed *standin.Seed) {
+	for ix := range fl.sp.ghosts {
+		pool := fmt.Sprintf("ghost%d", ix%fl.sp.ghostPools)
+		if ix < fl.sp.ghostPools {
+			seed.Pools = append(seed.Pools, platform.Pool{ID: platform.PoolID(pool), Services: []platform.ServiceID{platform.ServiceID(pool)}})
+			seed.Services = append(seed.Services, platform.Service{ID: platform.ServiceID(pool), Slots: 8, Connections: 64, Asked: 3, Budget: 1})
+		}
+		id := platform.InstanceID(fmt.Sprintf("ghost-worker-%d", ix))
+		seed.Instances = append(seed.Instances, platform.Instance{ID: id, Hall: "hall1", Rack: platform.RackID(fmt.Sprintf("rack%d", ix/4)), Pool: platform.PoolID(pool), Address: "127.0.0.1:1", State: platform.InstanceServing, Epoch: 1, Services: []platform.ServiceID{platform.ServiceID(pool)}})
+		seed.Members = append(seed.Members, platform.Member{ID: id, Role: platform.RoleWorker, State: platform.MemberLive, Hall: "hall1"})
+	}
+}
+
 func (fl *fleet) startEndpoint(ep *endpointProcess) {
 	ep.process = startProcess(fl.t, fl.dir, string(ep.id), "standin-endpoint", "--address", ep.address, "--id", string(ep.id), "--work", fmt.Sprintf("%dms", ep.sp.workMs), "--journal", fl.journal(ep))
 	fl.awaitListening(ep.address)
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Format, vet, staticcheck at a pinned version, and every test with the race detector.
+# Format, vet, staticcheck at a pinned version, every test with the race detector, and the bounds that the race detector would distort.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -11,3 +11,5 @@
 go vet ./...
 go tool staticcheck ./...
 go test -race -count=1 -timeout 40m ./...
+go test -count=1 -run 'Allocations|Overload|Waves' ./endpoint ./operator
+go test -count=1 -run 'Random' ./operator -cases 30
--- /dev/null
+++ b/standin/memory.go
@@ -0,0 +1,105 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/aspenseam/aspenseam/platform"
+)
+
+// Memory is the platform's table without HTTP, for tests whose clock is a synthetic one.
+type Memory struct {
+	pl *Platform
+	// Delay is how long each commit takes.
+	Delay time.Duration
+}
+
+// NewMemory returns an empty table.
+func NewMemory() *Memory {
+	return &Memory{pl: NewPlatform()}
+}
+
+// Counts returns how often the table was asked.
+func (mm *Memory) Counts() PlatformCounts {
+	mm.pl.mu.Lock()
+	defer mm.pl.mu.Unlock()
+	counts := mm.pl.counts
+	counts.Version = mm.pl.version
+	counts.Actions = nil
+	return counts
+}
+
+// Load writes the seed's rows and membership.
+func (mm *Memory) Load(sd Seed) error {
+	return mm.pl.Load(sd)
+}
+
+// Get returns one row.
+func (mm *Memory) Get(_ context.Context, table platform.TableName, key string) (platform.Row, error) {
+	mm.pl.mu.Lock()
+	defer mm.pl.mu.Unlock()
+	mm.pl.counts.Reads++
+	rw, ok := mm.pl.rows[platform.RowKey{Table: table, Key: key}]
+	if !ok || rw.Deleted {
+		return platform.Row{}, platform.ErrAbsent
+	}
+	return rw, nil
+}
+
+// Commit applies a transaction.
+func (mm *Memory) Commit(_ context.Context, tx platform.Tx) (platform.Version, error) {
+	time.Sleep(mm.Delay)
+	mm.pl.mu.Lock()
+	defer mm.pl.mu.Unlock()
+	mm.pl.counts.Writes++
+	mm.pl.counts.Rows += int64(len(tx.Writes))
+	status, result := mm.pl.apply(tx)
+	if status != http.StatusOK {
+		return 0, &platform.ConflictError{Rows: result.Rows}
+	}
+	return result.Version, nil
+}
+
+// Changes returns the rows of the tables that were written after a version.
+func (mm *Memory) Changes(_ context.Context, since platform.Version, tables []platform.TableName) (platform.Changes, error) {
+	mm.pl.mu.Lock()
+	defer mm.pl.mu.Unlock()
+	mm.pl.counts.Reads++
+	cs := platform.Changes{Version: mm.pl.version}
+	for key, rw := range mm.pl.rows {
+		if rw.Version > since && slices.Contains(tables, key.Table) {
+			cs.Rows = append(cs.Rows, rw)
+		}
+	}
+	sort.Slice(cs.Rows, func(ix, jx int) bool { return cs.Rows[ix].Version < cs.Rows[jx].Version })
+	return cs, nil
+}
+
+// Members returns the membership.
+func (mm *Memory) Members(context.Context) ([]platform.Member, error) {
+	mm.pl.mu.Lock()
+	defer mm.pl.mu.Unlock()
+	return slices.Clone(mm.pl.members), nil
+}
+
+// PutObject stores a value.
+func (mm *Memory) PutObject(_ context.Context, key string, value []byte) error {
+	mm.pl.mu.Lock()
+	defer mm.pl.mu.Unlock()
+	mm.pl.objects[key] = value
+	return nil
+}
+
+// GetObject returns a value.
+func (mm *Memory) GetObject(_ context.Context, key string) ([]byte, error) {
+	mm.pl.mu.Lock()
+	defer mm.pl.mu.Unlock()
+	value, ok := mm.pl.objects[key]
+	if !ok {
+		return nil, platform.ErrAbsent
+	}
+	return value, nil
+}
--- /dev/null
+++ b/worker/placer_test.go
@@ -0,0 +1,421 @@
+package worker_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/aspenseam/aspenseam/platform"
+	"github.com/aspenseam/aspenseam/standin"
+	"github.com/aspenseam/aspenseam/worker"
+)
+
+// farm is workers in memory that run tasks under leases.
+type farm struct {
+	mu    sync.Mutex
+	tasks map[worker.JobID]*run
+	// attempts is the newest attempt of each job that any worker was given.
+	attempts map[worker.JobID]worker.Attempt
+	// bad workers fail everything; bad jobs fail everywhere.
+	badWorkers map[platform.InstanceID]bool
+	badJobs    map[worker.JobID]bool
+	used       func(worker.JobID) worker.Size
+	reports    []worker.Report
+	broken     []string
+	starts     int
+	began      map[worker.JobID]time.Time
+}
+
+// run is one task on a worker.
+type run struct {
+	task worker.Task
+	ends time.Time
+}
+
+func newFarm() *farm {
+	return &farm{tasks: map[worker.JobID]*run{}, attempts: map[worker.JobID]worker.Attempt{}, badWorkers: map[platform.InstanceID]bool{}, badJobs: map[worker.JobID]bool{}, began: map[worker.JobID]time.Time{}, used: func(worker.JobID) worker.Size { return worker.Size{CPUMillis: 500, MemoryMB: 500} }}
+}
+
+// Start takes a task, or renews its lease; a lease that lies in the past and an older attempt are refused.
+func (fm *farm) Start(_ context.Context, tk worker.Task) error {
+	fm.mu.Lock()
+	defer fm.mu.Unlock()
+	fm.settle()
+	if tk.Attempt < fm.attempts[tk.Job] || !time.Now().Before(tk.LeaseUntil) {
+		return fmt.Errorf("refused")
+	}
+	if rn := fm.tasks[tk.Job]; rn != nil {
+		if rn.task.Attempt != tk.Attempt || rn.task.Instance != tk.Instance {
+			fm.broken = append(fm.broken, fmt.Sprintf("%s runs on %s and was started on %s", tk.Job, rn.task.Instance, tk.Instance))
+		}
+		rn.task.LeaseUntil = tk.LeaseUntil
+		return nil
+	}
+	if tk.Attempt == fm.attempts[tk.Job] {
+		return nil // it has ended, and its report says how
+	}
+	fm.starts++
+	fm.attempts[tk.Job] = tk.Attempt
+	if fm.began[tk.Job].IsZero() {
+		fm.began[tk.Job] = time.Now()
+	}
+	fm.tasks[tk.Job] = &run{task: tk, ends: time.Now().Add(20 * time.Second)}
+	return nil
+}
+
+// Stop ends a task.
+func (fm *farm) Stop(_ context.Context, _ platform.InstanceID, job worker.JobID, at worker.Attempt, _ bool) error {
+	fm.mu.Lock()
+	defer fm.mu.Unlock()
+	if rn := fm.tasks[job]; rn != nil && rn.task.Attempt == at {
+		fm.report(rn, worker.TaskStopped)
+	}
+	return nil
+}
+
+func (fm *farm) report(rn *run, state worker.TaskState) {
+	tk := rn.task
+	fm.reports = append(fm.reports, worker.Report{Job: tk.Job, Attempt: tk.Attempt, Instance: tk.Instance, State: state, Used: fm.used(tk.Job)})
+	delete(fm.tasks, tk.Job)
+}
+
+// settle ends the tasks whose time or lease is over; the lock is held.
+func (fm *farm) settle() {
+	now := time.Now()
+	for _, rn := range fm.tasks {
+		switch {
+		case !now.Before(rn.task.LeaseUntil):
+			fm.report(rn, worker.TaskStopped)
+		case fm.badWorkers[rn.task.Instance] || fm.badJobs[rn.task.Job]:
+			fm.report(rn, worker.TaskFailed)
+		case !now.Before(rn.ends):
+			fm.report(rn, worker.TaskDone)
+		}
+	}
+}
+
+// Reports returns the ends of tasks.
+func (fm *farm) Reports(context.Context) ([]worker.Report, error) {
+	fm.mu.Lock()
+	defer fm.mu.Unlock()
+	fm.settle()
+	return slices.Clone(fm.reports), nil
+}
+
+// shop is a table with workers and jobs, and the placers on it.
+type shop struct {
+	t     *testing.T
+	mm    *standin.Memory
+	fm    *farm
+	watch *platform.Watcher
+	made  int
+}
+
+func newShop(ctx context.Context, t *testing.T, workers int) *shop {
+	sh := &shop{t: t, mm: standin.NewMemory(), fm: newFarm()}
+	var sd standin.Seed
+	for ix := range workers {
+		id := platform.InstanceID(fmt.Sprintf("w%d", ix+1))
+		sd.Instances = append(sd.Instances, platform.Instance{ID: id, State: platform.InstanceServing, Epoch: 1})
+		sd.Members = append(sd.Members, platform.Member{ID: id, Role: platform.RoleWorker, State: platform.MemberLive})
+	}
+	if err := sh.mm.Load(sd); err != nil {
+		t.Fatal(err)
+	}
+	sh.watch = platform.NewWatcher(sh.mm)
+	go sh.watch.Run(ctx)
+	sh.put(worker.TableQuota, "mills", worker.Quota{Team: "mills", Slots: 1000})
+	time.Sleep(2 * time.Second)
+	return sh
+}
+
+func (sh *shop) put(table platform.TableName, key string, value any) {
+	sh.t.Helper()
+	raw, err := platform.Encode(value)
+	if err != nil {
+		sh.t.Fatal(err)
+	}
+	rw, err := sh.mm.Get(context.Background(), table, key)
+	if err != nil {
+		rw.Version = 0
+	}
+	if _, err := sh.mm.Commit(context.Background(), platform.Tx{Writes: []platform.Write{{Table: table, Key: key, IfVersion: rw.Version, Value: raw}}}); err != nil {
+		sh.t.Fatal(err)
+	}
+}
+
+// submit queues a job.
+func (sh *shop) submit(change func(*worker.Job)) worker.JobID {
+	sh.made++
+	jb := worker.Job{ID: worker.JobID(fmt.Sprintf("j%03d", sh.made)), Team: "mills", Kind: "tally", Declared: worker.Size{CPUMillis: 1000, MemoryMB: 1000}, SubmittedAt: time.Now(), State: worker.JobQueued}
+	if change != nil {
+		change(&jb)
+	}
+	sh.put(worker.TableJob, string(jb.ID), jb)
+	return jb.ID
+}
+
+func (sh *shop) job(id worker.JobID) worker.Job {
+	sh.t.Helper()
+	rw, err := sh.mm.Get(context.Background(), worker.TableJob, string(id))
+	if err != nil {
+		sh.t.Fatal(err)
+	}
+	jb, err := platform.Decode[worker.Job](rw)
+	if err != nil {
+		sh.t.Fatal(err)
+	}
+	return jb
+}
+
+func (sh *shop) placer(ctx context.Context, entry platform.InstanceID) *worker.Placer {
+	pl := worker.NewPlacer(sh.mm, sh.fm, sh.watch, worker.WithEntry(entry, platform.Incarnation(platform.NewID())), worker.WithReserve(2))
+	go pl.Run(ctx)
+	return pl
+}
+
+// inShop runs a story under a synthetic clock and wants that no job ever ran twice at once.
+func inShop(t *testing.T, workers int, story func(ctx context.Context, sh *shop)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		sh := newShop(ctx, t, workers)
+		story(ctx, sh)
+		cancel()
+		time.Sleep(time.Hour)
+		for _, breach := range sh.fm.broken {
+			t.Error(breach)
+		}
+	})
+}
+
+func TestUrgentWorkStartsAtOnceOnAFullFleet(t *testing.T) {
+	inShop(t, 2, func(ctx context.Context, sh *shop) {
+		for range 40 {
+			sh.submit(nil)
+		}
+		sh.placer(ctx, "e1")
+		time.Sleep(5 * time.Second)
+		urgent := sh.submit(func(jb *worker.Job) { jb.Urgent = true })
+		submitted := time.Now()
+		time.Sleep(5 * time.Second)
+		took := sh.fm.began[urgent].Sub(submitted)
+		t.Logf("urgent job started after %v behind %d queued ones", took, 40-14)
+		if sh.fm.began[urgent].IsZero() || took > 1100*time.Millisecond {
+			t.Errorf("urgent job started after %v", took)
+		}
+	})
+}
+
+func TestJobThatFitsNowhereIsSaidSoAndHoldsUpNobody(t *testing.T) {
+	inShop(t, 2, func(ctx context.Context, sh *shop) {
+		giant := sh.submit(func(jb *worker.Job) { jb.Declared.MemoryMB = 1 << 20 })
+		small := sh.submit(nil)
+		sh.placer(ctx, "e1")
+		time.Sleep(2 * time.Second)
+		if jb := sh.job(giant); jb.State != worker.JobFitsNowhere || jb.Why == "" {
+			t.Errorf("giant is %s", jb.State)
+		}
+		if jb := sh.job(small); jb.State != worker.JobRunning {
+			t.Errorf("small is %s", jb.State)
+		}
+	})
+}
+
+func TestBadWorkersAreToldFromBadJobs(t *testing.T) {
+	inShop(t, 6, func(ctx context.Context, sh *shop) {
+		sh.fm.badWorkers["w1"] = true
+		sh.fm.badJobs["j005"] = true
+		var ids []worker.JobID
+		for range 60 {
+			ids = append(ids, sh.submit(nil))
+		}
+		sh.placer(ctx, "e1")
+		time.Sleep(5 * time.Minute)
+		failedOnBad := 0
+		for _, id := range ids {
+			jb := sh.job(id)
+			if slices.Contains(jb.FailedOn, "w1") {
+				failedOnBad++
+			}
+			if want := map[bool]worker.JobState{true: worker.JobFailed, false: worker.JobDone}[id == "j005"]; jb.State != want {
+				t.Errorf("%s is %s after failing on %v", id, jb.State, jb.FailedOn)
+			}
+		}
+		t.Logf("%d of 60 jobs failed on the bad worker before it was quarantined", failedOnBad)
+		if failedOnBad > 16 {
+			t.Errorf("%d jobs failed on the bad worker", failedOnBad)
+		}
+	})
+}
+
+func TestWaveOfCancellationsTakesFewWrites(t *testing.T) {
+	inShop(t, 4, func(ctx context.Context, sh *shop) {
+		var ids []worker.JobID
+		for range 300 {
+			ids = append(ids, sh.submit(nil))
+		}
+		sh.placer(ctx, "e1")
+		time.Sleep(5 * time.Second)
+		before := sh.mm.Counts().Writes
+		sh.put(worker.TableCancel, "c1", worker.Cancellation{Team: "mills", Kind: "tally", At: time.Now()})
+		time.Sleep(3 * time.Second)
+		writes := sh.mm.Counts().Writes - before
+		for _, id := range ids {
+			if jb := sh.job(id); jb.State != worker.JobCancelled {
+				t.Fatalf("%s is %s", id, jb.State)
+			}
+		}
+		t.Logf("%d jobs cancelled in %d writes", len(ids), writes)
+		if writes > 12 {
+			t.Errorf("%d writes for %d cancellations", writes, len(ids))
+		}
+		if len(sh.fm.tasks) != 0 {
+			t.Errorf("%d tasks still run", len(sh.fm.tasks))
+		}
+	})
+}
+
+func TestFrozenPlacerPlacesNothingUnderALapsedLease(t *testing.T) {
+	inShop(t, 4, func(ctx context.Context, sh *shop) {
+		var mu sync.Mutex
+		freeze, woke := false, 0
+		before := func() {
+			mu.Lock()
+			now := freeze
+			freeze = false
+			mu.Unlock()
+			if now {
+				time.Sleep(time.Minute)
+				mu.Lock()
+				woke++
+				mu.Unlock()
+			}
+		}
+		sh.placer(ctx, "e1").SetBefore(before)
+		time.Sleep(2 * time.Second)
+		for round := range 8 {
+			mu.Lock()
+			freeze = true
+			mu.Unlock()
+			for range 20 {
+				sh.submit(nil)
+			}
+			other := platform.InstanceID(fmt.Sprintf("e%d", round+2))
+			sh.placer(ctx, other).SetBefore(before)
+			time.Sleep(90 * time.Second)
+		}
+		time.Sleep(3 * time.Minute)
+		for number := range sh.made {
+			if jb := sh.job(worker.JobID(fmt.Sprintf("j%03d", number+1))); jb.State != worker.JobDone || jb.Attempt != 1 {
+				t.Errorf("%s is %s after %d attempts", jb.ID, jb.State, jb.Attempt)
+			}
+		}
+		t.Logf("%d jobs, each started once: %d starts, %d wakings of a frozen placer", sh.made, sh.fm.starts, woke)
+		if woke == 0 || sh.fm.starts != sh.made {
+			t.Errorf("%d wakings, %d starts of %d jobs", woke, sh.fm.starts, sh.made)
+		}
+	})
+}
+
+func TestPlannedStopMovesJobsAfterACheckpoint(t *testing.T) {
+	inShop(t, 2, func(ctx context.Context, sh *shop) {
+		id := sh.submit(nil)
+		sh.placer(ctx, "e1")
+		time.Sleep(3 * time.Second)
+		on := sh.job(id).Instance
+		sh.put(platform.TableInstance, string(on), platform.Instance{ID: on, State: platform.InstanceLeaving, Epoch: 2, Hold: &platform.Hold{Plan: "p", Phase: platform.PhaseLeaving}})
+		time.Sleep(5 * time.Second)
+		if jb := sh.job(id); jb.State != worker.JobRunning || jb.Instance == on || jb.Attempt != 2 {
+			t.Errorf("job is %s on %s, attempt %d", jb.State, jb.Instance, jb.Attempt)
+		}
+	})
+}
+
+// TestLearnedSizesAgainstFirstFit fills workers with jobs whose declared sizes are far from the truth, by the real decision and by first fit on declared sizes.
+func TestLearnedSizesAgainstFirstFit(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(9, 10))
+	total := worker.Size{CPUMillis: 16000, MemoryMB: 32 << 10}
+	factors := map[worker.Kind]float64{"dispatch": 0.3, "billing": 0.5, "valves": 1.6, "losses": 0.8}
+	kinds := []worker.Kind{"dispatch", "billing", "valves", "losses"}
+	type made struct {
+		jb    *worker.Job
+		truth worker.Size
+	}
+	makeJob := func(number int) made {
+		kind := kinds[rnd.IntN(len(kinds))]
+		declared := worker.Size{CPUMillis: 1000 + rnd.IntN(4000), MemoryMB: 2000 + rnd.IntN(8000)}
+		share := factors[kind] * (0.85 + 0.15*rnd.Float64())
+		truth := worker.Size{CPUMillis: int(float64(declared.CPUMillis) * share), MemoryMB: int(float64(declared.MemoryMB) * share)}
+		return made{&worker.Job{ID: worker.JobID(fmt.Sprintf("j%d", number)), Team: "heat", Kind: kind, Declared: declared, State: worker.JobQueued}, truth}
+	}
+	learner := worker.NewLearner()
+	for number := range 400 {
+		md := makeJob(number)
+		learner.Observe(md.jb.Kind, md.jb.Declared, md.truth)
+	}
+	var jobs []made
+	for number := range 600 {
+		jobs = append(jobs, makeJob(1000+number))
+	}
+	fill := func(ln *worker.Learner) (placed, over int) {
+		var views []*worker.View
+		for ix := range 50 {
+			views = append(views, &worker.View{ID: platform.InstanceID(fmt.Sprintf("w%02d", ix)), Total: total, Slots: 8, Usable: true})
+		}
+		var queue []*worker.Job
+		truth := map[worker.JobID]worker.Size{}
+		for _, md := range jobs {
+			queue = append(queue, md.jb)
+			truth[md.jb.ID] = md.truth
+		}
+		oc := worker.Place(worker.Placing{Queue: queue, Workers: views, Quotas: map[worker.TeamID]int{"heat": 1000}, Used: map[worker.TeamID]int{}, Learner: ln, Judge: worker.NewJudge(), Now: time.Now()})
+		taken := map[platform.InstanceID]int{}
+		for _, pm := range oc.Placements {
+			taken[pm.Instance] += truth[pm.Job.ID].MemoryMB
+		}
+		for _, memory := range taken {
+			if memory > total.MemoryMB {
+				over++
+			}
+		}
+		return len(oc.Placements), over
+	}
+	placed, over := fill(learner)
+	declaredPlaced, declaredOver := firstFit(jobs, total, func(md made) (*worker.Job, worker.Size) { return md.jb, md.truth })
+	t.Logf("50 workers: %d jobs placed with %d workers over their memory; first fit on declared sizes: %d placed, %d over", placed, over, declaredPlaced, declaredOver)
+	if placed <= declaredPlaced || over > 0 {
+		t.Errorf("placed %d (%d over) against %d (%d over)", placed, over, declaredPlaced, declaredOver)
+	}
+}
+
+// firstFit is the baseline: the first worker with room by declared sizes.
+func firstFit[T any](jobs []T, total worker.Size, of func(T) (*worker.Job, worker.Size)) (placed, over int) {
+	const workers, slots = 50, 8
+	var declared, truth [workers]worker.Size
+	var busy [workers]int
+	for _, md := range jobs {
+		jb, real := of(md)
+		for ix := range workers {
+			cpu, memory := declared[ix].CPUMillis+jb.Declared.CPUMillis, declared[ix].MemoryMB+jb.Declared.MemoryMB
+			if busy[ix] >= slots || cpu > total.CPUMillis || memory > total.MemoryMB {
+				continue
+			}
+			declared[ix] = worker.Size{CPUMillis: cpu, MemoryMB: memory}
+			truth[ix].MemoryMB += real.MemoryMB
+			busy[ix]++
+			placed++
+			break
+		}
+	}
+	for ix := range workers {
+		if truth[ix].MemoryMB > total.MemoryMB {
+			over++
+		}
+	}
+	return placed, over
+}
