Control within its bounds: membership by tag, usage of the wave alone; jobs through the platform

Ruled out: the peers' comparison (its bytes did not grow with the fleet). Change: the membership is asked for with the tag of the last answer; usage is asked for the wave's instances; sorted list and digest are made once for each

Jobs: tasks are handed to workers through the platform; submitted, cancelled and listed by operators.

--- a/entry.go
+++ b/entry.go
@@ -15,6 +15,7 @@
 	"github.com/aspenseam/aspenseam/peer"
 	"github.com/aspenseam/aspenseam/platform"
 	"github.com/aspenseam/aspenseam/settings"
+	"github.com/aspenseam/aspenseam/worker"
 	"github.com/integrii/flaggy"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
@@ -29,6 +30,8 @@
 	stopMargin = 5 * time.Second
 	// moveTimeout bounds the agreement on successors of a lost endpoint.
 	moveTimeout = 5 * time.Second
+	// urgentReserve is the slots of the fleet that only urgent jobs may take.
+	urgentReserve = 4
 	// listeners are those for callers, peers and operators.
 	listeners = 3
 )
@@ -47,6 +50,7 @@
 	operators   *operator.Server
 	executor    *operator.Executor
 	keeper      *operator.Keeper
+	placer      *worker.Placer
 	registry    metrics.Registry
 	background  context.Context
 	servers     []*http.Server
@@ -88,6 +92,7 @@
 	go en.watcher.Run(background)
 	go en.peers.Run(background)
 	go en.executor.Run(background)
+	go en.placer.Run(background)
 	en.seed(ctx)
 	if err := en.listenCallers(failed); err != nil {
 		return err
@@ -122,6 +127,8 @@
 	en.executor = operator.NewExecutor(en.platform, en.platform, en.watcher, en.peers, prober{dialer(st, st.Endpoint.DialTimeout)}, operator.ExecutorOptions{
 		Entry: platform.InstanceID(st.Entry.ID), Incarnation: en.incarnation, LongestRequest: st.Caller.LongestRequest, Log: lg,
 	})
+	en.placer = worker.NewPlacer(en.platform, worker.NewClient(en.platform), en.watcher,
+		worker.WithEntry(platform.InstanceID(st.Entry.ID), en.incarnation), worker.WithLog(lg), worker.WithReserve(urgentReserve))
 	en.operators = operator.NewServer(en.watcher, en.router, en.platform, desk, en.peers,
 		operator.WithEntry(platform.InstanceID(st.Entry.ID), en.incarnation, platform.HallID(st.Entry.Hall)),
 		operator.WithOperators(st.Operators), operator.WithRegistry(en.registry), operator.WithLog(lg))
--- a/operator/bed_test.go
+++ b/operator/bed_test.go
@@ -213,7 +213,7 @@
 	wd.usage[mv.Instance] = map[platform.ServiceID]int{}
 }
 
-func (wd *world) Usage(context.Context) ([]platform.Usage, error) {
+func (wd *world) Usage(context.Context, ...platform.InstanceID) ([]platform.Usage, error) {
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	var usage []platform.Usage
--- a/operator/client.go
+++ b/operator/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/aspenseam/aspenseam/platform"
+	"github.com/aspenseam/aspenseam/worker"
 	"github.com/go-resty/resty/v2"
 )
 
@@ -37,7 +38,10 @@
 // do makes one call and decodes the answer.
 func (cl *Client) do(ctx context.Context, method, path string, body, result any) error {
 	var problem Problem
-	rq := cl.rc.R().SetContext(ctx).SetResult(result).SetError(&problem)
+	rq := cl.rc.R().SetContext(ctx).SetError(&problem)
+	if result != nil {
+		rq.SetResult(result)
+	}
 	if body != nil {
 		rq.SetBody(body)
 	}
@@ -87,6 +91,27 @@
 	return lines, cl.do(ctx, http.MethodGet, "/v1/audit", nil, &lines)
 }
 
+// Submit queues jobs.
+func (cl *Client) Submit(ctx context.Context, jobs ...JobRequest) error {
+	return cl.do(ctx, http.MethodPost, "/v1/jobs", SubmitCall{Jobs: jobs}, nil)
+}
+
+// Cancel cancels a wave of jobs.
+func (cl *Client) Cancel(ctx context.Context, call CancelCall) error {
+	return cl.do(ctx, http.MethodPost, "/v1/jobs/cancel", call, nil)
+}
+
+// SetQuota sets the slots of a team.
+func (cl *Client) SetQuota(ctx context.Context, quota worker.Quota) error {
+	return cl.do(ctx, http.MethodPut, "/v1/quotas", quota, nil)
+}
+
+// Jobs returns all jobs.
+func (cl *Client) Jobs(ctx context.Context) ([]worker.Job, error) {
+	var jobs []worker.Job
+	return jobs, cl.do(ctx, http.MethodGet, "/v1/jobs", nil, &jobs)
+}
+
 // Configuration returns the accepted configuration and what each entry instance runs.
 func (cl *Client) Configuration(ctx context.Context) (ConfigurationView, error) {
 	var vw ConfigurationView
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -59,6 +59,8 @@
 	version, err := platform.CommitOnce(ctx, dk.table, platform.Audit{Actor: string(author), Action: "acceptConfiguration", Subject: configurationKey, Why: fmt.Sprintf("over version %d", over), At: dk.now().UTC()}, wt)
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
+		// The operator's next look here must show what was in the way.
+		dk.rows.Merge(conflict.Rows[:1], 0)
 		return 0, &RefusedError{Message: "another configuration was accepted in between", Findings: []string{conflictText(conflict)}}
 	}
 	if err != nil {
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	defaultTick      = 500 * time.Millisecond
+	defaultTick      = time.Second
 	defaultLeaseFor  = 4 * time.Second
 	defaultFreshness = 10 * time.Second
 	commitTimeout    = 5 * time.Second
@@ -21,7 +21,7 @@
 
 // Platform acts on instances and knows their use.
 type Platform interface {
-	Usage(ctx context.Context) ([]platform.Usage, error)
+	Usage(ctx context.Context, ids ...platform.InstanceID) ([]platform.Usage, error)
 	Act(ctx context.Context, id platform.InstanceID, ac platform.Action, step string) error
 }
 
@@ -120,7 +120,8 @@
 	if !free {
 		return
 	}
-	usage, err := ex.platform.Usage(ctx)
+	ids, _ := ex.inReach(pn, FleetOf(ex.rows.Snapshot(), nil))
+	usage, err := ex.platform.Usage(ctx, append(ids, pn.instances()[0])...)
 	if err != nil {
 		ex.keepLease(ctx, lease, []string{"the platform does not say how the workers are used"})
 		return
@@ -132,7 +133,7 @@
 	if !ex.keepLease(ctx, lease, lease.Waiting) {
 		return
 	}
-	waiting := ex.steps(ctx, pn, usage)
+	waiting := ex.steps(ctx, pn, &sight{usage: usage})
 	if !slices.Equal(waiting, lease.Waiting) {
 		ex.note(pn, waiting)
 		lease, _ = ex.leaseOf(pn.ID)
@@ -146,13 +147,27 @@
 	}
 }
 
+// sight is what one tick sees: the usage that was asked for, and the fleet of the newest snapshot, made once for each.
+type sight struct {
+	usage []platform.Usage
+	sn    *platform.Snapshot
+	ft    *Fleet
+}
+
+func (sg *sight) fleet(sn *platform.Snapshot) *Fleet {
+	if sg.sn != sn {
+		sg.sn, sg.ft = sn, FleetOf(sn, sg.usage)
+	}
+	return sg.ft
+}
+
 // steps decides on every instance in reach and returns what is waited for.
-func (ex *Executor) steps(ctx context.Context, pn *Plan, usage []platform.Usage) []string {
+func (ex *Executor) steps(ctx context.Context, pn *Plan, sg *sight) []string {
 	var waiting []string
-	if err := ex.recordDown(ctx, pn, usage); err != nil {
+	if err := ex.recordDown(ctx, pn, sg); err != nil {
 		return []string{fmt.Sprintf("what is down cannot be recorded: %v", errors.Unwrap(err))}
 	}
-	ids, wave := ex.inReach(pn, FleetOf(ex.rows.Snapshot(), usage))
+	ids, wave := ex.inReach(pn, sg.fleet(ex.rows.Snapshot()))
 	if len(ids) == 0 {
 		ex.finish(ctx, pn)
 		return nil
@@ -160,7 +175,7 @@
 	for _, id := range ids {
 		// Each decision sees what the ones before have committed.
 		sn := ex.rows.Snapshot()
-		ip := ex.input(ctx, pn, wave, sn, FleetOf(sn, usage), id)
+		ip := ex.input(ctx, pn, wave, sn, sg.fleet(sn), id)
 		dc := Decide(ip)
 		if dc.Move == MoveWait {
 			waiting = append(waiting, dc.Reason)
@@ -175,9 +190,9 @@
 
 // recordDown writes which instances are down into the rows of the plan's services.
 // A decision that was made before, by an executor frozen since, then conflicts instead of breaking a budget.
-func (ex *Executor) recordDown(ctx context.Context, pn *Plan, usage []platform.Usage) error {
+func (ex *Executor) recordDown(ctx context.Context, pn *Plan, sg *sight) error {
 	sn := ex.rows.Snapshot()
-	ft := FleetOf(sn, usage)
+	ft := sg.fleet(sn)
 	for _, touch := range pn.Touches {
 		sv := sn.Services[touch.Service]
 		if sv == nil {
--- a/operators.go
+++ b/operators.go
@@ -31,7 +31,7 @@
 
 // operatorCommands returns the commands that call an entry instance's operator listener.
 func operatorCommands() []command {
-	commands := []command{planCommand(), plansCommand(), statusCommand(), auditCommand(), settingsCommand()}
+	commands := []command{planCommand(), plansCommand(), statusCommand(), auditCommand(), settingsCommand(), jobsCommand(), submitCommand(), cancelCommand(), quotaCommand()}
 	for _, call := range []string{"confirm", "pause", "resume", "abort"} {
 		commands = append(commands, changeCommand(call))
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/aspenseam/aspenseam/platform"
+	"github.com/cespare/xxhash/v2"
 )
 
 // PlatformFaults switches what the platform does wrong; the zero value is a healthy one.
@@ -56,13 +58,14 @@
 	steps   map[string]bool
 	faults  PlatformFaults
 	counts  PlatformCounts
+	tasks   *Tasks
 	// hook is asked, by POST to hook/action/instance, to carry out each action; empty carries out none.
 	hook string
 }
 
 // NewPlatform returns an empty healthy platform.
 func NewPlatform() *Platform {
-	return &Platform{rows: map[platform.RowKey]platform.Row{}, objects: map[string][]byte{}, steps: map[string]bool{}, counts: PlatformCounts{Actions: map[string]int{}}}
+	return &Platform{rows: map[platform.RowKey]platform.Row{}, objects: map[string][]byte{}, steps: map[string]bool{}, tasks: NewTasks(), counts: PlatformCounts{Actions: map[string]int{}}}
 }
 
 // Seed is what a platform starts with.
@@ -116,6 +119,11 @@
 	mux.HandleFunc("GET /v1/object/{key}", pl.faulty(pl.getObject))
 	mux.HandleFunc("PUT /v1/object/{key}", pl.faulty(pl.putObject))
 	mux.HandleFunc("POST /v1/instance/{id}/{action}", pl.faulty(pl.act))
+	mux.HandleFunc("POST /v1/instance/{id}/tasks", pl.faulty(pl.tasks.start))
+	mux.HandleFunc("DELETE /v1/instance/{id}/tasks/{task}/{attempt}", pl.faulty(pl.tasks.stop))
+	mux.HandleFunc("GET /v1/tasks", pl.faulty(pl.tasks.report))
+	mux.HandleFunc("PUT /control/tasks", pl.tasks.setFaults)
+	mux.HandleFunc("GET /control/tasks", pl.tasks.getCounts)
 	mux.HandleFunc("PUT /control/faults", pl.setFaults)
 	mux.HandleFunc("PUT /control/members", pl.setMembers)
 	mux.HandleFunc("GET /control/counts", pl.getCounts)
@@ -181,7 +189,7 @@
 	writeJSON(wr, http.StatusOK, cs)
 }
 
-func (pl *Platform) listMembers(wr http.ResponseWriter, _ *http.Request) {
+func (pl *Platform) listMembers(wr http.ResponseWriter, rq *http.Request) {
 	pl.mu.Lock()
 	pl.counts.Reads++
 	members := pl.members
@@ -189,13 +197,32 @@
 		members = pl.stale
 	}
 	pl.mu.Unlock()
-	writeJSON(wr, http.StatusOK, members)
+	raw, err := json.Marshal(members)
+	if err != nil {
+		http.Error(wr, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(raw), 36))
+	wr.Header().Set("Etag", tag)
+	if rq.Header.Get("If-None-Match") == tag {
+		wr.WriteHeader(http.StatusNotModified)
+		return
+	}
+	wr.Header().Set("Content-Type", "application/json")
+	// The other side may be gone; there is nobody else to tell.
+	_, _ = wr.Write(raw)
 }
 
-func (pl *Platform) listUsage(wr http.ResponseWriter, _ *http.Request) {
+func (pl *Platform) listUsage(wr http.ResponseWriter, rq *http.Request) {
+	wanted := strings.Split(rq.URL.Query().Get("instances"), ",")
 	pl.mu.Lock()
 	pl.counts.Reads++
-	usage := pl.usage
+	usage := []platform.Usage{}
+	for _, us := range pl.usage {
+		if wanted[0] == "" || slices.Contains(wanted, string(us.Instance)) {
+			usage = append(usage, us)
+		}
+	}
 	pl.mu.Unlock()
 	writeJSON(wr, http.StatusOK, usage)
 }
--- a/worker/place.go
+++ b/worker/place.go
@@ -53,7 +53,7 @@
 // Place decides on every queued job once; one that cannot go now holds up no other.
 func Place(pc Placing) Outcome {
 	var oc Outcome
-	free := freeSlots(pc.Workers)
+	free := freeSlots(pc)
 	for _, jb := range order(pc) {
 		need := pc.Learner.Correct(jb.Kind, jb.Declared)
 		if !fitsAny(pc.Workers, need) {
@@ -99,11 +99,11 @@
 	return queue
 }
 
-// freeSlots counts the slots that usable workers have left.
-func freeSlots(workers []*View) int {
+// freeSlots counts the slots that usable workers have left; those of a quarantined one are no reserve for urgent jobs.
+func freeSlots(pc Placing) int {
 	free := 0
-	for _, wk := range workers {
-		if wk.Usable {
+	for _, wk := range pc.Workers {
+		if wk.Usable && !pc.Judge.Quarantined(wk.ID, pc.Now) {
 			free += max(0, wk.Slots-wk.Busy)
 		}
 	}
--- a/worker/placer.go
+++ b/worker/placer.go
@@ -181,6 +181,9 @@
 	if pl.lease != 0 && pl.until.Sub(now) > pl.opts.Lease/2 {
 		return true, nil
 	}
+	if pl.lease == 0 && pl.othersLease(now) {
+		return false, nil
+	}
 	rw, err := pl.table.Get(ctx, platform.TableLease, leaseKey)
 	if err != nil && !errors.Is(err, platform.ErrAbsent) {
 		return false, eris.Wrap(err, "read lease")
@@ -199,6 +202,16 @@
 	return pl.writeLease(ctx, rw.Version, now)
 }
 
+// othersLease reports whether the snapshot shows that another holds the lease, so that waiting costs no read.
+func (pl *Placer) othersLease(now time.Time) bool {
+	rw, known := pl.fleet.Snapshot().Rows[platform.RowKey{Table: platform.TableLease, Key: leaseKey}]
+	if !known {
+		return false
+	}
+	lease, err := platform.Decode[placeLease](rw)
+	return err == nil && now.Before(lease.Until)
+}
+
 func (pl *Placer) writeLease(ctx context.Context, over platform.Version, now time.Time) (bool, error) {
 	until := now.Add(pl.opts.Lease)
 	raw, err := platform.Encode(placeLease{Holder: pl.opts.Entry, Incarnation: pl.opts.Incarnation, Until: until})
