--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -63,6 +63,19 @@
 			t.Errorf("%s:\n%v", file, err)
 		}
 	}
+	fleets, err := filepath.Glob("../examples/*/fleet.jsonc")
+	if err != nil || len(fleets) == 0 {
+		t.Fatalf("no fleet examples: %v", err)
+	}
+	for _, file := range fleets {
+		src, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := settings.ParseFleet(src); err != nil {
+			t.Errorf("%s:\n%v", file, err)
+		}
+	}
 }
 
 func FuzzParse(f *testing.F) {
