--- a/caller/fakes_test.go
+++ b/caller/fakes_test.go
@@ -57,7 +57,7 @@
 }
 
 func newServer(fr *fakeRouter, mm *standin.Memory, options ...caller.Option) *caller.Server {
-	options = append([]caller.Option{caller.WithKeys("0123456789abcdef"), caller.WithEntry("e1", "i1")}, options...)
+	options = append([]caller.Option{caller.WithSigner(caller.NewSigner("0123456789abcdef")), caller.WithEntry("e1", "i1")}, options...)
 	return caller.NewServer(fr, fakeSnapshots{}, mm, noPeers{}, options...)
 }
 
--- a/caller/options.go
+++ b/caller/options.go
@@ -22,7 +22,7 @@
 	ClaimTimeout    time.Duration
 	AnswersKept     int
 	AnswerRetention time.Duration
-	Keys            []string
+	Signer          *Signer
 	Log             *event.Logger
 	Now             func() time.Time
 }
@@ -72,9 +72,9 @@
 	return func(op *Options) { op.AnswersKept, op.KeptBytes, op.AnswerRetention = kept, size, retention }
 }
 
-// WithKeys sets the fleet's keys for session tokens, newest first.
-func WithKeys(keys ...string) Option {
-	return func(op *Options) { op.Keys = keys }
+// WithSigner sets what signs session tokens and tickets.
+func WithSigner(sg *Signer) Option {
+	return func(op *Options) { op.Signer = sg }
 }
 
 // WithLog sets the logger.
--- a/caller/server.go
+++ b/caller/server.go
@@ -49,7 +49,7 @@
 	for _, option := range options {
 		option(&opts)
 	}
-	sv := &Server{opts: opts, router: router, snapshots: snapshots, peers: peers, signer: NewSigner(opts.Keys...)}
+	sv := &Server{opts: opts, router: router, snapshots: snapshots, peers: peers, signer: opts.Signer}
 	sv.records = newRecords(&sv.opts)
 	sv.claims = newClaims(store, &sv.opts)
 	sv.tickets = newTickets(&sv.opts, sv.signer)
--- a/caller/session.go
+++ b/caller/session.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"strings"
+	"sync/atomic"
 
 	"github.com/aspenseam/aspenseam/endpoint"
 	"github.com/aspenseam/aspenseam/platform"
@@ -16,6 +17,8 @@
 const (
 	macBytes       = 16
 	maxTokenLength = 1024
+	// sessionPurpose keeps a session's tag from passing for a ticket's.
+	sessionPurpose = "session\x00"
 )
 
 // errToken says that a session token was not made by this fleet.
@@ -31,18 +34,44 @@
 
 // Signer makes and checks session tokens.
 type Signer struct {
-	keys [][]byte
+	keys atomic.Pointer[[][]byte]
 }
 
 // NewSigner returns a signer that signs with the first key and accepts all.
 func NewSigner(keys ...string) *Signer {
 	sg := &Signer{}
-	for _, key := range keys {
-		sg.keys = append(sg.keys, []byte(key))
-	}
+	sg.SetKeys(keys...)
 	return sg
 }
 
+// SetKeys replaces the keys.
+func (sg *Signer) SetKeys(keys ...string) {
+	list := make([][]byte, len(keys))
+	for ix, key := range keys {
+		list[ix] = []byte(key)
+	}
+	sg.keys.Store(&list)
+}
+
+// sign returns the tag of a text under the first key.
+func (sg *Signer) sign(text string) string {
+	return base64.RawURLEncoding.EncodeToString(mac((*sg.keys.Load())[0], text))
+}
+
+// signed reports whether a tag is a text's under any key.
+func (sg *Signer) signed(text, tag string) bool {
+	sum, err := base64.RawURLEncoding.DecodeString(tag)
+	if err != nil {
+		return false
+	}
+	for _, key := range *sg.keys.Load() {
+		if hmac.Equal(sum, mac(key, text)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Token returns the session's token.
 func (sg *Signer) Token(ss Session) string {
 	raw, err := json.Marshal(ss)
@@ -51,7 +80,7 @@
 		return ""
 	}
 	payload := base64.RawURLEncoding.EncodeToString(raw)
-	return payload + "." + base64.RawURLEncoding.EncodeToString(mac(sg.keys[0], payload))
+	return payload + "." + sg.sign(sessionPurpose+payload)
 }
 
 // Open returns the session of a token.
@@ -60,8 +89,7 @@
 	if !found || len(token) > maxTokenLength {
 		return nil, errToken
 	}
-	sum, err := base64.RawURLEncoding.DecodeString(tag)
-	if err != nil || !sg.signed(payload, sum) {
+	if !sg.signed(sessionPurpose+payload, tag) {
 		return nil, errToken
 	}
 	raw, err := base64.RawURLEncoding.DecodeString(payload)
@@ -75,19 +103,10 @@
 	return &ss, nil
 }
 
-func (sg *Signer) signed(payload string, sum []byte) bool {
-	for _, key := range sg.keys {
-		if hmac.Equal(sum, mac(key, payload)) {
-			return true
-		}
-	}
-	return false
-}
-
-func mac(key []byte, payload string) []byte {
+func mac(key []byte, text string) []byte {
 	hs := hmac.New(sha256.New, key)
 	// A hash never fails to take bytes.
-	_, _ = hs.Write([]byte("session\x00" + payload))
+	_, _ = hs.Write([]byte(text))
 	return hs.Sum(nil)[:macBytes]
 }
 
--- a/caller/ticket.go
+++ b/caller/ticket.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/hmac"
-	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"io"
@@ -117,7 +115,7 @@
 // ticketID returns a ticket as a request id.
 func (sg *Signer) ticketID(tk ticket) string {
 	payload := strings.Join([]string{string(tk.entry), string(tk.incarnation), string(tk.nonce), strconv.FormatInt(tk.expires.UnixMilli(), 36)}, ".")
-	return ticketPrefix + payload + "." + base64.RawURLEncoding.EncodeToString(mac(sg.keys[0], ticketPrefix+payload))
+	return ticketPrefix + payload + "." + sg.sign(ticketPrefix+payload)
 }
 
 // openTicket returns the ticket of a request id, nil if the id is an ordinary one.
@@ -131,8 +129,7 @@
 		return nil, errTicket
 	}
 	last := len(parts) - 1
-	sum, err := base64.RawURLEncoding.DecodeString(parts[last])
-	if err != nil || !sg.signedTicket(strings.Join(parts[:last], "."), sum) {
+	if !sg.signed(ticketPrefix+strings.Join(parts[:last], "."), parts[last]) {
 		return nil, errTicket
 	}
 	expires, err := strconv.ParseInt(parts[last-1], 36, 64)
@@ -142,15 +139,6 @@
 	return &ticket{entry: platform.InstanceID(strings.Join(parts[:last-3], ".")), incarnation: platform.Incarnation(parts[last-3]), nonce: Nonce(parts[last-2]), expires: time.UnixMilli(expires)}, nil
 }
 
-func (sg *Signer) signedTicket(payload string, sum []byte) bool {
-	for _, key := range sg.keys {
-		if hmac.Equal(sum, mac(key, ticketPrefix+payload)) {
-			return true
-		}
-	}
-	return false
-}
-
 // serveTicket gives a caller a ticket.
 func (sv *Server) serveTicket(wr http.ResponseWriter) {
 	answer, err := sv.tickets.issue()
--- a/entry.go
+++ b/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -51,6 +52,9 @@
 	executor    *operator.Executor
 	keeper      *operator.Keeper
 	placer      *worker.Placer
+	keys        *peer.Keys
+	signer      *caller.Signer
+	certificate certificate
 	registry    metrics.Registry
 	background  context.Context
 	servers     []*http.Server
@@ -72,7 +76,7 @@
 			return err
 		}
 		defer lg.Sync()
-		err = runEntry(ctx, st, lg)
+		err = runEntry(ctx, st, path, lg)
 		if err != nil {
 			lg.Emit(event.ProcessFailed, zap.Error(err))
 		}
@@ -81,10 +85,14 @@
 }
 
 // runEntry serves until the context ends, then stops without cutting a request.
-func runEntry(ctx context.Context, st *settings.Settings, lg *event.Logger) error {
+func runEntry(ctx context.Context, st *settings.Settings, path string, lg *event.Logger) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	en := newEntry(background, st, lg)
+	en, err := newEntry(background, st, lg)
+	if err != nil {
+		return err
+	}
+	go en.reloadOnHangup(background, path)
 	failed := make(chan error, listeners)
 	if err := en.listenInside(failed); err != nil {
 		return err
@@ -108,14 +116,24 @@
 }
 
 // newEntry builds the parts of an entry instance from its settings.
-func newEntry(background context.Context, st *settings.Settings, lg *event.Logger) *entry {
+func newEntry(background context.Context, st *settings.Settings, lg *event.Logger) (*entry, error) {
 	en := &entry{st: st, log: lg, incarnation: platform.Incarnation(platform.NewID()), registry: metrics.NewRegistry(), background: background}
+	en.keys, en.signer = peer.NewKeys(st.Peer.Keys...), caller.NewSigner(st.Peer.Keys...)
+	peerTLS, err := clientTLS(st.TLS)
+	if err != nil {
+		return nil, err
+	}
+	if peerTLS != nil {
+		if err := en.certificate.load(st.TLS); err != nil {
+			return nil, err
+		}
+	}
 	buffers := endpoint.NewBuffers(st.Caller.BufferBytes)
 	en.platform = platform.NewClient(platform.WithAddresses(st.Platform.Addresses...), platform.WithTimeout(st.Platform.Timeout), platform.WithDial(dialer(st, st.Platform.Timeout)))
 	en.watcher = platform.NewWatcher(en.platform, platform.WithPollInterval(st.Platform.PollInterval), platform.WithLog(lg), platform.WithOnChange(en.changed))
 	en.router = endpoint.NewRouter(routerOptions(st, lg, buffers)...)
 	en.keeper = operator.NewKeeper(lg, func(ft *settings.Fleet) { en.router.SetPolicy(ft.RetryShare, ft.EjectAfter, ft.EjectShareMax) })
-	peerOptions := en.peerOptions()
+	peerOptions := append(en.peerOptions(), peer.WithTLS(peerTLS))
 	en.peers = peer.NewClient(en.watcher, peerOptions...)
 	en.callers = caller.NewServer(en.router, en.watcher, en.platform, en.peers, en.callerOptions(buffers)...)
 	en.peerServer = peer.NewServer(en.watcher, en.callers, en.router, en.keeper, peerOptions...)
@@ -138,7 +156,7 @@
 	}
 	en.router.OnGone = func(in platform.Instance) { go en.move(mover, in) }
 	en.register(buffers)
-	return en
+	return en, nil
 }
 
 func (en *entry) move(mover *platform.Mover, in platform.Instance) {
@@ -193,7 +211,8 @@
 func (en *entry) peerOptions() []peer.Option {
 	return []peer.Option{
 		peer.WithEntry(platform.InstanceID(en.st.Entry.ID), en.incarnation),
-		peer.WithKeys(en.st.Peer.Keys...),
+		peer.WithKeys(en.keys),
+		peer.WithSigner(en.signer),
 		peer.WithSeeds(en.st.Peer.Seeds...),
 		peer.WithTimeout(en.st.Peer.Timeout),
 		peer.WithSyncInterval(en.st.Peer.SyncInterval),
@@ -210,7 +229,7 @@
 		caller.WithBytes(cs.BodyBytes, buffers),
 		caller.WithClaims(cs.ClaimWait, cs.ClaimGroup, en.st.Platform.Timeout),
 		caller.WithAnswers(cs.AnswersKept, cs.BufferBytes/keptShare, cs.AnswerRetention),
-		caller.WithKeys(en.st.Peer.Keys...),
+		caller.WithSigner(en.signer),
 		caller.WithLog(en.log),
 	}
 }
@@ -235,7 +254,9 @@
 
 // changed gives a new snapshot to the router, and fresh rows to the peers.
 func (en *entry) changed(cg platform.Change) {
-	en.router.Update(cg.Snapshot)
+	if cg.Routes() {
+		en.router.Update(cg.Snapshot)
+	}
 	en.keeper.Update(cg.Snapshot)
 	if cg.Read {
 		en.peers.Push(en.background, cg.Rows)
@@ -289,6 +310,9 @@
 	if connections > 0 {
 		ln = netutil.LimitListener(ln, connections)
 	}
+	if config := en.serverTLS(); config != nil {
+		ln = tls.NewListener(ln, config)
+	}
 	en.servers = append(en.servers, srv)
 	go func() {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -9,6 +9,8 @@
 	ProcessStopped    = Kind{103, "process stopped", zapcore.InfoLevel, "Nothing."}
 	ProcessFailed     = Kind{104, "process failed", zapcore.ErrorLevel, "Read the field `error`; the process has exited."}
 	StopForced        = Kind{105, "requests were still open when the longest request time was over", zapcore.WarnLevel, "Look for an endpoint that does not answer; the requests ended as unknown."}
+	Reloaded          = Kind{106, "keys, tokens and certificate replaced", zapcore.InfoLevel, "Nothing."}
+	ReloadFailed      = Kind{107, "settings file has faults; nothing was replaced", zapcore.ErrorLevel, "Mend the findings named and send SIGHUP again."}
 	PlatformReached   = Kind{201, "platform answers again", zapcore.InfoLevel, "Nothing."}
 	PlatformLost      = Kind{202, "platform does not answer", zapcore.WarnLevel, "See docs/OPERATING.md, outages of the platform; serving goes on from the last snapshot."}
 	SnapshotFromPeer  = Kind{203, "started from a peer's snapshot", zapcore.InfoLevel, "Nothing; the platform did not answer at start."}
@@ -38,7 +40,7 @@
 
 // Catalogue lists every event by number.
 var Catalogue = []Kind{
-	ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed, StopForced,
+	ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed, StopForced, Reloaded, ReloadFailed,
 	PlatformReached, PlatformLost, SnapshotFromPeer, SnapshotChanged, RowRejected,
 	ClaimUnresolved, ResultNotStored, AnswerBroken,
 	EndpointEjected, EndpointReturned, EndpointLeaving, AnswerForeign, SessionsMoved,
--- a/operator/client.go
+++ b/operator/client.go
@@ -24,6 +24,12 @@
 	return &Client{rc: resty.New().SetBaseURL("http://" + address).SetAuthToken(token).SetTimeout(clientTimeout)}
 }
 
+// NewTLSClient returns a client that checks the entry instance against the certificates of a PEM file.
+func NewTLSClient(address, token, authorityFile string) *Client {
+	rc := resty.New().SetRootCertificate(authorityFile).SetBaseURL("https://" + address).SetAuthToken(token).SetTimeout(clientTimeout)
+	return &Client{rc: rc}
+}
+
 // CallError is an answer that says that the call was not carried out.
 type CallError struct {
 	Status  int
@@ -91,6 +97,21 @@
 	return lines, cl.do(ctx, http.MethodGet, "/v1/audit", nil, &lines)
 }
 
+// Metrics returns the entry instance's figures by name.
+func (cl *Client) Metrics(ctx context.Context) (map[string]int64, error) {
+	var all map[string]struct {
+		Value int64 `json:"value"`
+	}
+	if err := cl.do(ctx, http.MethodGet, "/v1/metrics", nil, &all); err != nil {
+		return nil, err
+	}
+	figures := make(map[string]int64, len(all))
+	for name, figure := range all {
+		figures[name] = figure.Value
+	}
+	return figures, nil
+}
+
 // Submit queues jobs.
 func (cl *Client) Submit(ctx context.Context, jobs ...JobRequest) error {
 	return cl.do(ctx, http.MethodPost, "/v1/jobs", SubmitCall{Jobs: jobs}, nil)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/aspenseam/aspenseam/event"
 	"github.com/aspenseam/aspenseam/platform"
@@ -99,6 +100,7 @@
 	table     platform.Table
 	desk      *Desk
 	versions  Versions
+	operators atomic.Pointer[[]settings.Operator]
 }
 
 // NewServer returns a server.
@@ -107,7 +109,14 @@
 	for _, option := range options {
 		option(&opts)
 	}
-	return &Server{opts: opts, snapshots: snapshots, endpoints: endpoints, table: table, desk: desk, versions: versions}
+	sv := &Server{opts: opts, snapshots: snapshots, endpoints: endpoints, table: table, desk: desk, versions: versions}
+	sv.SetOperators(opts.Operators)
+	return sv
+}
+
+// SetOperators replaces who may call.
+func (sv *Server) SetOperators(operators []settings.Operator) {
+	sv.operators.Store(&operators)
 }
 
 // operatorKey is the context key of the operator's name.
@@ -157,7 +166,7 @@
 	token, found := strings.CutPrefix(header, bearer)
 	var name Name
 	matched := false
-	for _, op := range sv.opts.Operators {
+	for _, op := range *sv.operators.Load() {
 		if subtle.ConstantTimeCompare([]byte(op.Token), []byte(token)) == 1 {
 			name, matched = Name(op.Name), true
 		}
--- a/operators.go
+++ b/operators.go
@@ -20,6 +20,8 @@
 const (
 	envAddress = "ASPENSEAM_ADDRESS"
 	envToken   = "ASPENSEAM_TOKEN"
+	// envAuthority names the PEM file that entry instances are checked against; without it they are called without TLS.
+	envAuthority = "ASPENSEAM_AUTHORITY"
 )
 
 // operatorCall holds the flags that every operator's command has.
@@ -27,6 +29,8 @@
 	address string
 	token   string
 	asJSON  bool
+	// authority is a PEM file; empty calls without TLS.
+	authority string
 }
 
 // operatorCommands returns the commands that call an entry instance's operator listener.
@@ -42,14 +46,18 @@
 func newOperatorCommand(name, description string) (*flaggy.Subcommand, *operatorCall) {
 	sub := flaggy.NewSubcommand(name)
 	sub.Description = description
-	oc := &operatorCall{address: os.Getenv(envAddress), token: os.Getenv(envToken)}
+	oc := &operatorCall{address: os.Getenv(envAddress), token: os.Getenv(envToken), authority: os.Getenv(envAuthority)}
 	sub.String(&oc.address, "a", "address", "operator address of any entry instance; default $"+envAddress)
 	sub.String(&oc.token, "t", "token", "operator token; default $"+envToken)
+	sub.String(&oc.authority, "c", "authority", "PEM file to check the entry instance against; default $"+envAuthority+", without TLS if none")
 	sub.Bool(&oc.asJSON, "j", "json", "print JSON")
 	return sub, oc
 }
 
 func (oc *operatorCall) client() *operator.Client {
+	if oc.authority != "" {
+		return operator.NewTLSClient(oc.address, oc.token, oc.authority)
+	}
 	return operator.NewClient(oc.address, oc.token)
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -33,7 +33,6 @@
 	http      *http.Client
 	mu        sync.Mutex
 	clients   map[string]Peer
-	signer    *caller.Signer
 }
 
 // NewClient returns a client that finds its peers in the snapshot's membership.
@@ -42,12 +41,8 @@
 	if opts.Dial == nil {
 		opts.Dial = (&net.Dialer{Timeout: opts.Timeout}).DialContext
 	}
-	transport := &http.Transport{DialContext: opts.Dial, MaxIdleConnsPerHost: idlePeers, IdleConnTimeout: time.Minute}
-	key := ""
-	if len(opts.Keys) > 0 {
-		key = opts.Keys[0]
-	}
-	return &Client{opts: opts, snapshots: snapshots, http: &http.Client{Transport: keyed{key, transport}}, clients: map[string]Peer{}, signer: caller.NewSigner(opts.Keys...)}
+	transport := &http.Transport{DialContext: opts.Dial, TLSClientConfig: opts.TLS, MaxIdleConnsPerHost: idlePeers, IdleConnTimeout: time.Minute}
+	return &Client{opts: opts, snapshots: snapshots, http: &http.Client{Transport: keyed{opts.Keys, transport}}, clients: map[string]Peer{}}
 }
 
 // peers returns the addresses of the other entry instances by id.
@@ -61,11 +56,19 @@
 	return others
 }
 
+// scheme returns how other entry instances are called.
+func (cl *Client) scheme() string {
+	if cl.opts.TLS != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
 func (cl *Client) at(address string) Peer {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	if cl.clients[address] == nil {
-		cl.clients[address] = NewPeerProtobufClient("http://"+address, cl.http)
+		cl.clients[address] = NewPeerProtobufClient(cl.scheme()+address, cl.http)
 	}
 	return cl.clients[address]
 }
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -20,7 +20,7 @@
 	}
 	out := &ForwardRequest{Caller: string(req.Caller), Id: string(req.ID), Service: string(req.Service), Method: req.Method, Target: req.Target, Host: req.Host, Header: headersOut(req.Header), Body: req.Body, DeadlineMs: req.Deadline.UnixMilli(), Try: int32(req.Try)}
 	if req.Session != nil {
-		out.Session = cl.signer.Token(*req.Session)
+		out.Session = cl.opts.Signer.Token(*req.Session)
 	}
 	rp, err := cl.at(mb.Address).Forward(ctx, out)
 	if err != nil {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"crypto/subtle"
+	"crypto/tls"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/aspenseam/aspenseam/caller"
@@ -47,10 +49,12 @@
 type Options struct {
 	Entry        platform.InstanceID
 	Incarnation  platform.Incarnation
-	Keys         []string
+	Keys         *Keys
 	Seeds        []string
 	Timeout      time.Duration
 	SyncInterval time.Duration
+	Signer       *caller.Signer
+	TLS          *tls.Config
 	Log          *event.Logger
 	Dial         func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -59,7 +63,7 @@
 type Option func(*Options)
 
 func build(options []Option) Options {
-	opts := Options{Timeout: 500 * time.Millisecond, SyncInterval: time.Second, Log: event.Nop()}
+	opts := Options{Keys: NewKeys(), Timeout: 500 * time.Millisecond, SyncInterval: time.Second, Log: event.Nop()}
 	for _, option := range options {
 		option(&opts)
 	}
@@ -72,7 +76,48 @@
 }
 
 // WithKeys sets the fleet's keys; the first is sent, all are accepted.
-func WithKeys(keys ...string) Option { return func(op *Options) { op.Keys = keys } }
+func WithKeys(keys *Keys) Option { return func(op *Options) { op.Keys = keys } }
+
+// WithSigner sets what signs the sessions that are passed on.
+func WithSigner(sg *caller.Signer) Option { return func(op *Options) { op.Signer = sg } }
+
+// WithTLS sets how other entry instances are called; nil calls them without TLS.
+func WithTLS(config *tls.Config) Option { return func(op *Options) { op.TLS = config } }
+
+// Keys is the fleet's keys, which can be replaced while calls go on.
+type Keys struct {
+	list atomic.Pointer[[]string]
+}
+
+// NewKeys returns keys, newest first.
+func NewKeys(keys ...string) *Keys {
+	ks := &Keys{}
+	ks.Set(keys...)
+	return ks
+}
+
+// Set replaces the keys.
+func (ks *Keys) Set(keys ...string) {
+	ks.list.Store(&keys)
+}
+
+// first returns the key that is sent.
+func (ks *Keys) first() string {
+	list := *ks.list.Load()
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0]
+}
+
+// known reports whether a key is one of them, in a time that does not depend on them.
+func (ks *Keys) known(got string) bool {
+	found := 0
+	for _, key := range *ks.list.Load() {
+		found |= subtle.ConstantTimeCompare([]byte(key), []byte(got))
+	}
+	return found == 1
+}
 
 // WithSeeds sets addresses to ask while no membership is known.
 func WithSeeds(seeds ...string) Option { return func(op *Options) { op.Seeds = seeds } }
@@ -97,7 +142,7 @@
 func Guard(next http.Handler, options ...Option) http.Handler {
 	opts := build(options)
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
-		if !known(opts.Keys, rq.Header.Get(headerKey)) {
+		if !opts.Keys.known(rq.Header.Get(headerKey)) {
 			opts.Log.Emit(event.PeerRejected, zap.String("from", rq.RemoteAddr))
 			http.Error(wr, "unknown key", http.StatusUnauthorized)
 			return
@@ -106,25 +151,16 @@
 	})
 }
 
-// known compares in a time that does not depend on the keys.
-func known(keys []string, got string) bool {
-	found := 0
-	for _, key := range keys {
-		found |= subtle.ConstantTimeCompare([]byte(key), []byte(got))
-	}
-	return found == 1
-}
-
 // keyed adds the fleet's key to each call.
 type keyed struct {
-	key  string
+	keys *Keys
 	next http.RoundTripper
 }
 
 // RoundTrip sends the call.
 func (kd keyed) RoundTrip(rq *http.Request) (*http.Response, error) {
 	rq = rq.Clone(rq.Context())
-	rq.Header.Set(headerKey, kd.key)
+	rq.Header.Set(headerKey, kd.keys.first())
 	return kd.next.RoundTrip(rq)
 }
 
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -201,6 +201,7 @@
 		"peer":     {"keys": []string{peerKey}, "seeds": seeds, "syncInterval": "200ms"},
 		"caller":   {},
 		"endpoint": {},
+		"tls":      {},
 	}
 	for section, values := range fl.sp.settings {
 		maps.Copy(st[section], values)
--- /dev/null
+++ b/report/report_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/platform"
+)
+
+func TestRolloutIsReadFromTheAuditTrail(t *testing.T) {
+	began := time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+	at := func(minutes int, action, subject, plan string) platform.Audit {
+		return platform.Audit{At: began.Add(time.Duration(minutes) * time.Minute), Action: action, Subject: subject, Plan: plan, Why: "kernel"}
+	}
+	lines := []platform.Audit{
+		at(0, "leaving", "w9", "other"), at(0, "confirm", "plan p", "p"),
+		at(0, "leaving", "w1", "p"), at(1, "leaving", "w2", "p"), at(30, "serving", "w1", "p"), at(61, "serving", "w2", "p"),
+	}
+	if last := lastPlan(lines); last != "p" {
+		t.Errorf("last plan %q", last)
+	}
+	ro := rolloutOf(lines, "p")
+	if ro.peak != 2 || ro.hours != 1.5 || len(ro.points) != 4 || ro.points[3].finished != 2 {
+		t.Errorf("%+v", ro)
+	}
+	text := page(ro, map[string]int64{"requests.answered": 7})
+	if !strings.Contains(text, "| requests answered here | 7 |") || !strings.Contains(text, "1h1m0s") {
+		t.Error(text)
+	}
+	out := t.TempDir()
+	if err := drawRollout(ro, filepath.Join(out, rolloutName)); err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Stat(filepath.Join(out, rolloutName)); err != nil || info.Size() < 1000 {
+		t.Errorf("picture: %v %v", info, err)
+	}
+}
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -64,3 +64,5 @@
 echo "requests answered meanwhile: $answered"
 as plans "$id"
 as audit
+go build -o "$dir/report" ./report
+"$dir/report" --out "${REPORT_OUT:-$dir/report-out}" && echo "report written"
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -278,6 +278,15 @@
 	if ps.st.Caller.DefaultTimeout > ps.st.Caller.LongestRequest {
 		ps.add(ps.seen["caller.defaultTimeout"], "caller.defaultTimeout", "must not exceed caller.longestRequest")
 	}
+	tlsFiles := 0
+	for _, file := range []string{ps.st.TLS.CertificateFile, ps.st.TLS.KeyFile, ps.st.TLS.AuthorityFile} {
+		if file != "" {
+			tlsFiles++
+		}
+	}
+	if tlsFiles != 0 && tlsFiles != 3 {
+		ps.add(ps.seen["tls"], "tls", "needs certificateFile, keyFile and authorityFile together")
+	}
 	if ps.st.Endpoint.EjectFor > ps.st.Endpoint.EjectForMax {
 		ps.add(ps.seen["endpoint.ejectFor"], "endpoint.ejectFor", "must not exceed endpoint.ejectForMax")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,7 @@
 // Settings holds every setting of an entry instance.
 type Settings struct {
 	Entry     Entry
+	TLS       TLS
 	Platform  Platform
 	Peer      Peer
 	Operators []Operator
@@ -54,6 +55,14 @@
 	SourceIP        string
 }
 
+// TLS names the files of the certificate with which callers, peers and operators are answered; empty answers without TLS.
+type TLS struct {
+	CertificateFile string
+	KeyFile         string
+	// AuthorityFile holds the certificates that other entry instances are checked against.
+	AuthorityFile string
+}
+
 // Platform tells where the platform is and how long to wait for it.
 type Platform struct {
 	Addresses    []string
--- a/worker/placer.go
+++ b/worker/placer.go
@@ -163,6 +163,9 @@
 	if err := pl.read(ctx); err != nil {
 		return err
 	}
+	if !pl.open() {
+		return nil
+	}
 	reports, err := pl.workers.Reports(ctx)
 	if err != nil {
 		return eris.Wrap(err, "reports")
@@ -175,6 +178,16 @@
 	return nil
 }
 
+// open reports whether any job wants something.
+func (pl *Placer) open() bool {
+	for _, jb := range pl.jobs {
+		if !jb.State.ended() {
+			return true
+		}
+	}
+	return false
+}
+
 // hold takes or renews the lease and reports whether this placer has it.
 func (pl *Placer) hold(ctx context.Context) (bool, error) {
 	now := pl.opts.Now()
