--- /dev/null
+++ b/caller/sweep.go
@@ -0,0 +1,96 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/aspenseam/aspenseam/event"
+	"github.com/aspenseam/aspenseam/platform"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+const (
+	sweepEvery = time.Minute
+	// sweepPage is how many claims are read, and deleted in one transaction, at a time.
+	sweepPage = 200
+	// sweepPages bounds one sweep, so that it never crowds out other writes.
+	sweepPages = 100
+)
+
+// SweepStore reads claims in the order in which they were last written, and deletes what belongs to them.
+type SweepStore interface {
+	Committer
+	ChangesPage(ctx context.Context, since platform.Version, tables []platform.TableName, limit int) (platform.Changes, error)
+	DeleteObject(ctx context.Context, key string) error
+}
+
+// Sweeper deletes claims that are older than the time for which ids are remembered.
+type Sweeper struct {
+	store     SweepStore
+	snapshots Snapshots
+	entry     platform.InstanceID
+	retention time.Duration
+	log       *event.Logger
+	now       func() time.Time
+}
+
+// NewSweeper returns a sweeper of one entry instance.
+func NewSweeper(store SweepStore, snapshots Snapshots, entry platform.InstanceID, retention time.Duration, lg *event.Logger, now func() time.Time) *Sweeper {
+	return &Sweeper{store: store, snapshots: snapshots, entry: entry, retention: retention, log: lg, now: now}
+}
+
+// Run sweeps until the context ends.
+func (sw *Sweeper) Run(ctx context.Context) {
+	platform.Every(ctx, sweepEvery, sw.Sweep)
+}
+
+// Sweep deletes old claims if it is this entry instance's turn.
+// The first one listed sweeps; two that both believe so only waste work, since each deletion is conditional.
+func (sw *Sweeper) Sweep(ctx context.Context) {
+	entries := sw.snapshots.Snapshot().Entries()
+	if len(entries) > 0 && entries[0].ID != sw.entry {
+		return
+	}
+	for range sweepPages {
+		more, err := sw.page(ctx)
+		if err != nil {
+			sw.log.Emit(event.SweepFailed, zap.Error(err))
+			return
+		}
+		if !more {
+			return
+		}
+	}
+}
+
+// page deletes one page of old claims and reports whether there may be more; the oldest always come first.
+func (sw *Sweeper) page(ctx context.Context) (bool, error) {
+	cs, err := sw.store.ChangesPage(ctx, 0, []platform.TableName{platform.TableClaim}, sweepPage)
+	if err != nil {
+		return false, eris.Wrap(err, "read claims")
+	}
+	var writes []platform.Write
+	for _, rw := range cs.Rows {
+		cl, err := platform.Decode[Claim](rw)
+		if err != nil || sw.now().Sub(cl.At) < sw.retention {
+			continue
+		}
+		if cl.Result != nil && cl.Result.Object != "" {
+			if err := sw.store.DeleteObject(ctx, cl.Result.Object); err != nil {
+				return false, eris.Wrap(err, "delete answer")
+			}
+		}
+		writes = append(writes, platform.Write{Table: rw.Table, Key: rw.Key, IfVersion: rw.Version, Delete: true})
+	}
+	if len(writes) == 0 {
+		return false, nil
+	}
+	_, err = sw.store.Commit(ctx, platform.Tx{Writes: writes})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return false, nil // another swept, or a claim changed; the next sweep sees
+	}
+	return len(writes) == sweepPage, eris.Wrap(err, "delete claims")
+}
--- a/entry.go
+++ b/entry.go
@@ -101,6 +101,7 @@
 	go en.peers.Run(background)
 	go en.executor.Run(background)
 	go en.placer.Run(background)
+	go caller.NewSweeper(en.platform, en.watcher, platform.InstanceID(st.Entry.ID), st.Caller.ClaimRetention, lg, time.Now).Run(background)
 	en.seed(ctx)
 	if err := en.listenCallers(failed); err != nil {
 		return err
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -19,6 +19,7 @@
 	ClaimUnresolved   = Kind{301, "claim could not be written or read back in time", zapcore.WarnLevel, "Nothing was sent for this try; the caller was told."}
 	ResultNotStored   = Kind{302, "result of a claimed request could not be stored", zapcore.WarnLevel, "The answer can be collected from this entry instance only, while it runs."}
 	AnswerBroken      = Kind{303, "answer broke off after it had begun to stream; connection aborted", zapcore.WarnLevel, "Look at the endpoint named."}
+	SweepFailed       = Kind{304, "old claims could not be deleted", zapcore.WarnLevel, "Nothing if it passes; the table grows until it does."}
 	EndpointEjected   = Kind{401, "endpoint ejected from routing", zapcore.WarnLevel, "Look at the endpoint named; it is tried again by itself."}
 	EndpointReturned  = Kind{402, "endpoint returned to routing", zapcore.InfoLevel, "Nothing."}
 	EndpointLeaving   = Kind{403, "endpoint refused new work as leaving", zapcore.InfoLevel, "Nothing; it is given none until the platform lists it again."}
@@ -42,7 +43,7 @@
 var Catalogue = []Kind{
 	ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed, StopForced, Reloaded, ReloadFailed,
 	PlatformReached, PlatformLost, SnapshotFromPeer, SnapshotChanged, RowRejected,
-	ClaimUnresolved, ResultNotStored, AnswerBroken,
+	ClaimUnresolved, ResultNotStored, AnswerBroken, SweepFailed,
 	EndpointEjected, EndpointReturned, EndpointLeaving, AnswerForeign, SessionsMoved,
 	PeerRejected,
 	OperatorRejected, PlanAccepted, PlanStep, PlanWaiting, ConfigurationSeen,
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -93,16 +93,7 @@
 
 // Run works on plans until the context ends.
 func (ex *Executor) Run(ctx context.Context) {
-	ticker := time.NewTicker(ex.opts.Tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			ex.Tick(ctx)
-		}
-	}
+	platform.Every(ctx, ex.opts.Tick, ex.Tick)
 }
 
 // Tick takes every active plan one step further as far as it can.
--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fl.fail(standin.PlatformFaults{LoseAnswers: 1})
+	fl.fail(standin.PlatformFaults{Table: platform.TableSetting, LoseAnswers: 1})
 	if _, err := fl.entries[0].desk().Accept(context.Background(), `{"weightMoves": 9}`, vw.Version); err != nil {
 		t.Fatal(err)
 	}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -252,6 +252,13 @@
 	return counts
 }
 
+// requestWrites counts the writes other than those of leases, which are written whether there are requests or not.
+func (fl *fleet) requestWrites() int64 {
+	fl.t.Helper()
+	counts := fl.platformCounts()
+	return counts.Writes - counts.Leases
+}
+
 // list makes the platform list all members but some.
 func (fl *fleet) list(without ...platform.InstanceID) {
 	fl.t.Helper()
--- a/proof/jobs_test.go
+++ b/proof/jobs_test.go
@@ -78,7 +78,7 @@
 		all = append(all, jobRequest(fmt.Sprintf("j%03d", number), false))
 	}
 	// Submitted twice, through two entry instances, with a lost answer: each is there once.
-	fl.fail(standin.PlatformFaults{LoseAnswers: 1})
+	fl.fail(standin.PlatformFaults{Table: worker.TableJob, LoseAnswers: 1})
 	for _, en := range fl.entries[:2] {
 		if err := en.desk().Submit(ctx, all...); err != nil {
 			t.Fatal(err)
@@ -137,12 +137,12 @@
 	}
 	eventually(t, "urgent job started", func() bool { return fl.taskCounts().FirstMs["urgent"] > 0 })
 	t.Logf("urgent job started %v after it was sent, behind a full fleet", time.UnixMilli(fl.taskCounts().FirstMs["urgent"]).Sub(submitted).Round(time.Millisecond))
-	before := fl.platformCounts().Writes
+	before := fl.requestWrites()
 	if err := dk.Cancel(ctx, operator.CancelCall{Team: "heat", Kind: "dispatch", Why: "boiler stopped"}); err != nil {
 		t.Fatal(err)
 	}
 	fl.awaitJobs(fl.entries[1], worker.JobCancelled, 101)
-	t.Logf("101 jobs cancelled in %d transactions; the stops of running tasks are not counted", fl.platformCounts().Writes-before)
+	t.Logf("101 jobs cancelled in %d transactions; the stops of running tasks are not counted", fl.requestWrites()-before)
 	if err := dk.Submit(ctx, operator.JobRequest{ID: "x"}, operator.JobRequest{ID: "x"}); err == nil || !strings.Contains(err.Error(), "jobs[1]: id x stands twice") {
 		t.Errorf("findings: %v", err)
 	}
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -78,7 +78,7 @@
 // holdBetweenClaimAndDispatch sends an unrepeatable request and returns once its claim stands while its entry instance still waits for the platform's word.
 func (fl *fleet) holdBetweenClaimAndDispatch(en *entryProcess, ak ask, id string) <-chan reply {
 	fl.t.Helper()
-	fl.fail(standin.PlatformFaults{LoseAnswers: 1000})
+	fl.fail(standin.PlatformFaults{Table: platform.TableClaim, LoseAnswers: 1000})
 	replies := make(chan reply, 1)
 	go func() { replies <- send(en.callers, ak) }()
 	fl.claimRow(id)
@@ -101,12 +101,12 @@
 func TestUnrepeatableWhoseEntryIsFrozenPastItsDeadline(t *testing.T) {
 	fl := newFleet(t, twoHalls)
 	frozen := fl.entries[0]
-	fl.fail(standin.PlatformFaults{LateWrites: 1, LateMs: 100})
+	fl.fail(standin.PlatformFaults{Table: platform.TableClaim, LateWrites: 1, LateMs: 100})
 	replies := make(chan reply, 1)
 	go func() {
 		replies <- send(frozen.callers, unrepeatable("frozen").with(caller.HeaderDeadline, deadline(2*time.Second)))
 	}()
-	eventually(t, "claim on its way", func() bool { return fl.platformCounts().Writes > 0 })
+	eventually(t, "claim on its way", func() bool { return fl.requestWrites() > 0 })
 	frozen.freeze()
 	fl.claimRow("frozen")
 	fl.fail(standin.PlatformFaults{})
@@ -128,14 +128,14 @@
 
 func TestUnrepeatableWhoseClaimAnswerIsLost(t *testing.T) {
 	fl := newFleet(t, twoHalls)
-	fl.fail(standin.PlatformFaults{LoseAnswers: 1})
+	fl.fail(standin.PlatformFaults{Table: platform.TableClaim, LoseAnswers: 1})
 	wantOutcome(t, send(fl.entries[0].callers, unrepeatable("lost")), "answered")
 	fl.wantRuns("lost", 1)
 }
 
 func TestUnrepeatableWhoseClaimTakesEffectLate(t *testing.T) {
 	fl := newFleet(t, twoHalls)
-	fl.fail(standin.PlatformFaults{LateWrites: 1, LateMs: 400})
+	fl.fail(standin.PlatformFaults{Table: platform.TableClaim, LateWrites: 1, LateMs: 400})
 	wantOutcome(t, send(fl.entries[0].callers, unrepeatable("late")), "answered")
 	time.Sleep(500 * time.Millisecond) // the late write lands now
 	wantOutcome(t, send(fl.entries[2].callers, unrepeatable("late")), "answered")
--- a/proof/session_test.go
+++ b/proof/session_test.go
@@ -33,7 +33,7 @@
 	newcomer := fl.planEntry("hall2")
 	fl.startEntry(newcomer)
 	fl.awaitReady(newcomer)
-	before := fl.platformCounts().Writes
+	before := fl.requestWrites()
 	for turn := range 5 {
 		for _, en := range fl.entries {
 			rp := send(en.callers, inSession(token))
@@ -43,7 +43,7 @@
 			}
 		}
 	}
-	if after := fl.platformCounts().Writes; after != before {
+	if after := fl.requestWrites(); after != before {
 		t.Errorf("%d platform writes for requests of a session", after-before)
 	}
 }
--- a/proof/ticket_test.go
+++ b/proof/ticket_test.go
@@ -41,7 +41,7 @@
 			without++
 		}
 	}
-	t.Logf("platform down: %d of %d served with tickets, %d of %d without; platform writes %d", withTicket, len(tickets), without, len(tickets), fl.platformCounts().Writes)
+	t.Logf("platform down: %d of %d served with tickets, %d of %d without; platform writes %d", withTicket, len(tickets), without, len(tickets), fl.requestWrites())
 	if withTicket != len(tickets) {
 		t.Errorf("only %d of %d requests with tickets were served", withTicket, len(tickets))
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -93,6 +93,7 @@
 	ClaimGroup      int
 	AnswersKept     int
 	AnswerRetention time.Duration
+	ClaimRetention  time.Duration
 }
 
 // Endpoint steers routing, limits and retries.
--- a/standin/memory.go
+++ b/standin/memory.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/aspenseam/aspenseam/platform"
@@ -65,17 +64,20 @@
 
 // Changes returns the rows of the tables that were written after a version.
 func (mm *Memory) Changes(_ context.Context, since platform.Version, tables []platform.TableName) (platform.Changes, error) {
+	return mm.pl.feed(since, tables, 0), nil
+}
+
+// ChangesPage returns the first rows, at most limit, that were written after a version and are not deleted.
+func (mm *Memory) ChangesPage(_ context.Context, since platform.Version, tables []platform.TableName, limit int) (platform.Changes, error) {
+	return mm.pl.feed(since, tables, limit), nil
+}
+
+// DeleteObject removes a value.
+func (mm *Memory) DeleteObject(_ context.Context, key string) error {
 	mm.pl.mu.Lock()
 	defer mm.pl.mu.Unlock()
-	mm.pl.counts.Reads++
-	cs := platform.Changes{Version: mm.pl.version}
-	for key, rw := range mm.pl.rows {
-		if rw.Version > since && slices.Contains(tables, key.Table) {
-			cs.Rows = append(cs.Rows, rw)
-		}
-	}
-	sort.Slice(cs.Rows, func(ix, jx int) bool { return cs.Rows[ix].Version < cs.Rows[jx].Version })
-	return cs, nil
+	delete(mm.pl.objects, key)
+	return nil
 }
 
 // Members returns the membership.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -29,6 +29,8 @@
 	// LateWrites is how many of the next commits lose their answer and take effect only after LateMs.
 	LateWrites int `json:"lateWrites"`
 	LateMs     int `json:"lateMs"`
+	// Table limits LoseAnswers and LateWrites to commits that write this table; empty means any.
+	Table platform.TableName `json:"table"`
 	// StaleMembers freezes the membership as it is now.
 	StaleMembers bool `json:"staleMembers"`
 	// StaleFeed answers reads of changes as of this version; 0 means the newest.
@@ -37,8 +39,10 @@
 
 // PlatformCounts says how often the platform was asked.
 type PlatformCounts struct {
-	Reads     int64            `json:"reads"`
-	Writes    int64            `json:"writes"`
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+	// Leases counts those of the writes that only concern leases.
+	Leases    int64            `json:"leases"`
 	Rows      int64            `json:"rows"`
 	Conflicts int64            `json:"conflicts"`
 	Version   platform.Version `json:"version"`
@@ -79,26 +83,25 @@
 // Load writes the seed's rows and membership.
 func (pl *Platform) Load(sd Seed) error {
 	var writes []platform.Write
-	for _, sv := range sd.Services {
-		raw, err := platform.Encode(sv)
+	var failed error
+	insert := func(table platform.TableName, key string, value any) {
+		raw, err := platform.Encode(value)
 		if err != nil {
-			return err
+			failed = err
 		}
-		writes = append(writes, platform.Write{Table: platform.TableService, Key: string(sv.ID), Value: raw})
+		writes = append(writes, platform.Write{Table: table, Key: key, Value: raw})
+	}
+	for _, sv := range sd.Services {
+		insert(platform.TableService, string(sv.ID), sv)
 	}
 	for _, po := range sd.Pools {
-		raw, err := platform.Encode(po)
-		if err != nil {
-			return err
-		}
-		writes = append(writes, platform.Write{Table: platform.TablePool, Key: string(po.ID), Value: raw})
+		insert(platform.TablePool, string(po.ID), po)
 	}
 	for _, in := range sd.Instances {
-		raw, err := platform.Encode(in)
-		if err != nil {
-			return err
-		}
-		writes = append(writes, platform.Write{Table: platform.TableInstance, Key: string(in.ID), Value: raw})
+		insert(platform.TableInstance, string(in.ID), in)
+	}
+	if failed != nil {
+		return failed
 	}
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
@@ -114,18 +117,19 @@
 	mux.HandleFunc("GET /v1/changes", pl.faulty(pl.changes))
 	mux.HandleFunc("GET /v1/members", pl.faulty(pl.listMembers))
 	mux.HandleFunc("GET /v1/usage", pl.faulty(pl.listUsage))
-	mux.HandleFunc("PUT /control/usage", pl.setUsage)
+	mux.HandleFunc("PUT /control/usage", replace(&pl.mu, &pl.usage))
 	mux.HandleFunc("POST /v1/tx", pl.faulty(pl.commit))
 	mux.HandleFunc("GET /v1/object/{key}", pl.faulty(pl.getObject))
 	mux.HandleFunc("PUT /v1/object/{key}", pl.faulty(pl.putObject))
+	mux.HandleFunc("DELETE /v1/object/{key}", pl.faulty(pl.deleteObject))
 	mux.HandleFunc("POST /v1/instance/{id}/{action}", pl.faulty(pl.act))
 	mux.HandleFunc("POST /v1/instance/{id}/tasks", pl.faulty(pl.tasks.start))
 	mux.HandleFunc("DELETE /v1/instance/{id}/tasks/{task}/{attempt}", pl.faulty(pl.tasks.stop))
 	mux.HandleFunc("GET /v1/tasks", pl.faulty(pl.tasks.report))
-	mux.HandleFunc("PUT /control/tasks", pl.tasks.setFaults)
+	mux.HandleFunc("PUT /control/tasks", replace(&pl.tasks.mu, &pl.tasks.faults))
 	mux.HandleFunc("GET /control/tasks", pl.tasks.getCounts)
 	mux.HandleFunc("PUT /control/faults", pl.setFaults)
-	mux.HandleFunc("PUT /control/members", pl.setMembers)
+	mux.HandleFunc("PUT /control/members", replace(&pl.mu, &pl.members))
 	mux.HandleFunc("GET /control/counts", pl.getCounts)
 	mux.HandleFunc("GET /control/table/{table}", pl.dump)
 	mux.HandleFunc("POST /control/tx", pl.commitHealthy)
@@ -171,8 +175,24 @@
 		http.Error(wr, "since must be a version", http.StatusBadRequest)
 		return
 	}
-	tables := strings.Split(rq.URL.Query().Get("tables"), ",")
+	limit := 0
+	if text := rq.URL.Query().Get("limit"); text != "" {
+		if limit, err = strconv.Atoi(text); err != nil {
+			http.Error(wr, "limit must be a number", http.StatusBadRequest)
+			return
+		}
+	}
+	var tables []platform.TableName
+	for _, name := range strings.Split(rq.URL.Query().Get("tables"), ",") {
+		tables = append(tables, platform.TableName(name))
+	}
+	writeJSON(wr, http.StatusOK, pl.feed(platform.Version(since), tables, limit))
+}
+
+// feed returns the rows after a version in their order, at most limit of those not deleted if it is not 0.
+func (pl *Platform) feed(since platform.Version, tables []platform.TableName, limit int) platform.Changes {
 	pl.mu.Lock()
+	defer pl.mu.Unlock()
 	pl.counts.Reads++
 	upTo := pl.version
 	if pl.faults.StaleFeed != 0 {
@@ -180,13 +200,15 @@
 	}
 	cs := platform.Changes{Version: upTo}
 	for key, rw := range pl.rows {
-		if rw.Version > platform.Version(since) && rw.Version <= upTo && slices.Contains(tables, string(key.Table)) {
+		if rw.Version > since && rw.Version <= upTo && slices.Contains(tables, key.Table) && !(limit > 0 && rw.Deleted) {
 			cs.Rows = append(cs.Rows, rw)
 		}
 	}
-	pl.mu.Unlock()
 	sort.Slice(cs.Rows, func(ix, jx int) bool { return cs.Rows[ix].Version < cs.Rows[jx].Version })
-	writeJSON(wr, http.StatusOK, cs)
+	if limit > 0 && len(cs.Rows) > limit {
+		cs.Rows = cs.Rows[:limit]
+	}
+	return cs
 }
 
 func (pl *Platform) listMembers(wr http.ResponseWriter, rq *http.Request) {
@@ -227,17 +249,6 @@
 	writeJSON(wr, http.StatusOK, usage)
 }
 
-func (pl *Platform) setUsage(wr http.ResponseWriter, rq *http.Request) {
-	var usage []platform.Usage
-	if !readJSON(wr, rq, &usage) {
-		return
-	}
-	pl.mu.Lock()
-	pl.usage = usage
-	pl.mu.Unlock()
-	wr.WriteHeader(http.StatusNoContent)
-}
-
 func (pl *Platform) commit(wr http.ResponseWriter, rq *http.Request) {
 	var tx platform.Tx
 	if !readJSON(wr, rq, &tx) {
@@ -246,7 +257,11 @@
 	pl.mu.Lock()
 	pl.counts.Writes++
 	pl.counts.Rows += int64(len(tx.Writes))
-	late, lost := pl.faults.LateWrites > 0, pl.faults.LoseAnswers > 0
+	if only(tx, platform.TableLease) {
+		pl.counts.Leases++
+	}
+	hit := pl.faults.Table == "" || slices.ContainsFunc(tx.Writes, func(wt platform.Write) bool { return wt.Table == pl.faults.Table })
+	late, lost := hit && pl.faults.LateWrites > 0, hit && pl.faults.LoseAnswers > 0
 	if late {
 		pl.faults.LateWrites--
 		delay := time.Duration(pl.faults.LateMs) * time.Millisecond
@@ -269,6 +284,11 @@
 	writeJSON(wr, status, result)
 }
 
+// only reports whether a transaction concerns one table alone.
+func only(tx platform.Tx, table platform.TableName) bool {
+	return !slices.ContainsFunc(tx.Writes, func(wt platform.Write) bool { return wt.Table != table })
+}
+
 // commitHealthy changes rows whatever faults are switched on, for tests that prepare a case.
 func (pl *Platform) commitHealthy(wr http.ResponseWriter, rq *http.Request) {
 	var tx platform.Tx
@@ -337,6 +357,14 @@
 	wr.WriteHeader(http.StatusNoContent)
 }
 
+func (pl *Platform) deleteObject(wr http.ResponseWriter, rq *http.Request) {
+	pl.mu.Lock()
+	pl.counts.Writes++
+	delete(pl.objects, rq.PathValue("key"))
+	pl.mu.Unlock()
+	wr.WriteHeader(http.StatusNoContent)
+}
+
 // act carries out a drain, stop, reboot or start of an instance once for each step id.
 func (pl *Platform) act(wr http.ResponseWriter, rq *http.Request) {
 	step := rq.URL.Query().Get("step")
@@ -388,17 +416,6 @@
 	wr.WriteHeader(http.StatusNoContent)
 }
 
-func (pl *Platform) setMembers(wr http.ResponseWriter, rq *http.Request) {
-	var members []platform.Member
-	if !readJSON(wr, rq, &members) {
-		return
-	}
-	pl.mu.Lock()
-	pl.members = members
-	pl.mu.Unlock()
-	wr.WriteHeader(http.StatusNoContent)
-}
-
 func (pl *Platform) getCounts(wr http.ResponseWriter, _ *http.Request) {
 	pl.mu.Lock()
 	counts := pl.counts
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -55,6 +56,20 @@
 	return true
 }
 
+// replace returns a handler that stores what it is sent, under the lock.
+func replace[T any](mu *sync.Mutex, target *T) http.HandlerFunc {
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		var value T
+		if !readJSON(wr, rq, &value) {
+			return
+		}
+		mu.Lock()
+		*target = value
+		mu.Unlock()
+		wr.WriteHeader(http.StatusNoContent)
+	}
+}
+
 // abort cuts the caller's connection without an answer.
 func abort() {
 	panic(http.ErrAbortHandler)
--- a/standin/tasks.go
+++ b/standin/tasks.go
@@ -159,17 +159,6 @@
 	writeJSON(wr, http.StatusOK, reports)
 }
 
-func (ts *Tasks) setFaults(wr http.ResponseWriter, rq *http.Request) {
-	var fs TaskFaults
-	if !readJSON(wr, rq, &fs) {
-		return
-	}
-	ts.mu.Lock()
-	ts.faults = fs
-	ts.mu.Unlock()
-	wr.WriteHeader(http.StatusNoContent)
-}
-
 func (ts *Tasks) getCounts(wr http.ResponseWriter, _ *http.Request) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
--- a/worker/placer.go
+++ b/worker/placer.go
@@ -129,16 +129,7 @@
 
 // Run places until the context ends.
 func (pl *Placer) Run(ctx context.Context) {
-	ticker := time.NewTicker(pl.opts.Every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			pl.Tick(ctx)
-		}
-	}
+	platform.Every(ctx, pl.opts.Every, pl.Tick)
 }
 
 // Tick does one round: lease, changes, reports, cancellations, placement.
