--- a/worker/place.go
+++ b/worker/place.go
@@ -145,19 +145,3 @@
 		return cn.Team == jb.Team && (cn.Kind == "" || cn.Kind == jb.Kind) && (len(cn.Jobs) == 0 || slices.Contains(cn.Jobs, jb.ID)) && !jb.SubmittedAt.After(cn.At)
 	})
 }
-
-// Pressed returns the tasks to throttle on a worker whose use comes near its size, ordinary and youngest first, and none while there is room.
-func Pressed(total, used Size, running []*Job) []*Job {
-	const near = 0.9
-	if float64(used.MemoryMB) < near*float64(total.MemoryMB) && float64(used.CPUMillis) < near*float64(total.CPUMillis) {
-		return nil
-	}
-	var pressed []*Job
-	for _, jb := range running {
-		if !jb.Urgent {
-			pressed = append(pressed, jb)
-		}
-	}
-	slices.SortFunc(pressed, func(aj, bj *Job) int { return bj.SubmittedAt.Compare(aj.SubmittedAt) })
-	return pressed
-}
--- a/worker/placer.go
+++ b/worker/placer.go
@@ -28,6 +28,8 @@
 	groupRows  = 50
 	placeAgain = 5 * time.Second
 	leaseKey   = "placer"
+	// jobRetention is how long after its submission an ended job can be looked up.
+	jobRetention = 48 * time.Hour
 )
 
 // Quota is the row of a team's share of the fleet.
@@ -154,6 +156,9 @@
 	if err := pl.read(ctx); err != nil {
 		return err
 	}
+	if err := pl.forget(ctx); err != nil {
+		return err
+	}
 	if !pl.open() {
 		return nil
 	}
@@ -169,6 +174,27 @@
 	return nil
 }
 
+// forget deletes a group of jobs that ended long ago; their ends stay in the audit trail no longer than in the table.
+func (pl *Placer) forget(ctx context.Context) error {
+	writes := []platform.Write{{Table: platform.TableLease, Key: leaseKey, IfVersion: pl.lease, Check: true}}
+	for _, jb := range pl.jobs {
+		if jb.State.ended() && pl.opts.Now().Sub(jb.SubmittedAt) > jobRetention && len(writes) <= groupRows {
+			writes = append(writes, platform.Write{Table: TableJob, Key: string(jb.ID), IfVersion: jb.version, Delete: true})
+		}
+	}
+	if len(writes) == 1 {
+		return nil
+	}
+	pl.before()
+	if _, err := pl.table.Commit(ctx, platform.Tx{Writes: writes}); err != nil {
+		return eris.Wrap(err, "delete ended jobs")
+	}
+	for _, wt := range writes[1:] {
+		delete(pl.jobs, JobID(wt.Key))
+	}
+	return nil
+}
+
 // open reports whether any job wants something.
 func (pl *Placer) open() bool {
 	for _, jb := range pl.jobs {
--- a/worker/placer_test.go
+++ b/worker/placer_test.go
@@ -419,3 +419,31 @@
 	}
 	return placed, over
 }
+
+func TestEndedJobsAreForgotten(t *testing.T) {
+	inShop(t, 2, func(ctx context.Context, sh *shop) {
+		// The placers run only for the times that matter, since each rounds four times a second.
+		placeFor := func(entry platform.InstanceID, long time.Duration) {
+			placing, stop := context.WithTimeout(ctx, long)
+			defer stop()
+			sh.placer(placing, entry)
+			<-placing.Done()
+		}
+		for range 120 {
+			sh.submit(nil)
+		}
+		placeFor("e1", 10*time.Minute)
+		time.Sleep(47 * time.Hour)
+		young := sh.submit(nil)
+		placeFor("e2", 5*time.Minute)
+		time.Sleep(2 * time.Hour)
+		placeFor("e3", time.Minute)
+		cs, err := sh.mm.ChangesPage(ctx, 0, []platform.TableName{worker.TableJob}, 1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(cs.Rows) != 1 || cs.Rows[0].Key != string(young) || sh.job(young).State != worker.JobDone {
+			t.Errorf("%d jobs left", len(cs.Rows))
+		}
+	})
+}
