--- /dev/null
+++ b/worker/steps.go
@@ -0,0 +1,213 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"github.com/aspenseam/aspenseam/event"
+	"github.com/aspenseam/aspenseam/platform"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+// settle takes the ends of tasks over into their jobs.
+func (pl *Placer) settle(ctx context.Context, reports []Report) error {
+	var changed []*Job
+	for _, rp := range reports {
+		jb := pl.jobs[rp.Job]
+		if jb == nil || jb.State != JobRunning || jb.Attempt != rp.Attempt {
+			continue
+		}
+		if next := pl.ended(jb, rp); next != nil {
+			changed = append(changed, next)
+		}
+	}
+	for _, jb := range pl.jobs {
+		if jb.State == JobRunning && pl.opts.Now().After(jb.LeaseUntil.Add(pl.opts.TaskLease)) {
+			// Its worker stopped it by itself when the lease ran out, and the margin covers clocks that differ.
+			next := *jb
+			next.State, next.Instance = JobQueued, ""
+			changed = append(changed, &next)
+		}
+	}
+	return pl.write(ctx, changed)
+}
+
+// ended returns the job after its task's end; nil while it runs.
+func (pl *Placer) ended(jb *Job, rp Report) *Job {
+	next := *jb
+	switch rp.State {
+	case TaskDone:
+		pl.learner.Observe(jb.Kind, jb.Declared, rp.Used)
+		pl.judge.Succeed(rp.Instance)
+		next.State = JobDone
+	case TaskFailed:
+		if pl.judge.Fail(rp.Instance, jb.ID, pl.opts.Now()) {
+			pl.opts.Log.Emit(event.WorkerQuarantined, zap.String("worker", string(rp.Instance)))
+		}
+		next.FailedOn = append(slices.Clone(jb.FailedOn), rp.Instance)
+		next.State, next.Instance = JobQueued, ""
+		if pl.judge.BadJob(next.FailedOn) {
+			next.State, next.Why = JobFailed, "it failed on several workers that run others well"
+		}
+	case TaskStopped:
+		next.State, next.Instance = JobQueued, ""
+	default:
+		return nil
+	}
+	return &next
+}
+
+// cancel ends the jobs that cancellations name and stops those that run.
+func (pl *Placer) cancel(ctx context.Context, _ []Report) error {
+	var cancellations []Cancellation
+	for _, cn := range pl.cancels {
+		cancellations = append(cancellations, cn)
+	}
+	var changed []*Job
+	for _, jb := range pl.jobs {
+		if jb.State.ended() || !cancelled(jb, cancellations) {
+			continue
+		}
+		if jb.State == JobRunning {
+			pl.before()
+			// A stop that is lost ends with the task's lease.
+			_ = pl.workers.Stop(ctx, jb.Instance, jb.ID, jb.Attempt, false)
+		}
+		next := *jb
+		next.State, next.Why = JobCancelled, "its team cancelled it"
+		changed = append(changed, &next)
+	}
+	return pl.write(ctx, changed)
+}
+
+// renew extends the leases of running tasks, and moves those off workers that a plan is about to stop, after a checkpoint.
+func (pl *Placer) renew(ctx context.Context, _ []Report) error {
+	var changed []*Job
+	sn := pl.fleet.Snapshot()
+	for _, jb := range pl.jobs {
+		if jb.State != JobRunning {
+			continue
+		}
+		next := *jb
+		switch in := sn.Instances[jb.Instance]; {
+		case in != nil && (in.Hold != nil || in.State != platform.InstanceServing):
+			pl.before()
+			if err := pl.workers.Stop(ctx, jb.Instance, jb.ID, jb.Attempt, true); err != nil {
+				continue
+			}
+			next.State, next.Instance = JobQueued, ""
+		case jb.LeaseUntil.Sub(pl.opts.Now()) < pl.opts.TaskLease/2:
+			next.LeaseUntil = pl.opts.Now().Add(pl.opts.TaskLease)
+		default:
+			continue
+		}
+		changed = append(changed, &next)
+	}
+	if err := pl.write(ctx, changed); err != nil {
+		return err
+	}
+	return pl.start(ctx, changed)
+}
+
+// place puts queued jobs on workers: first in the table, under the lease, and then at the workers.
+func (pl *Placer) place(ctx context.Context, _ []Report) error {
+	oc := Place(pl.placing())
+	var changed []*Job
+	for _, pm := range oc.Placements {
+		next := *pm.Job
+		next.State, next.Instance, next.Granted = JobRunning, pm.Instance, pm.Granted
+		next.Attempt++
+		next.LeaseUntil = pl.opts.Now().Add(pl.opts.TaskLease)
+		changed = append(changed, &next)
+	}
+	for _, jb := range oc.Hopeless {
+		next := *jb
+		next.State, next.Why = JobFitsNowhere, "no worker is large enough"
+		changed = append(changed, &next)
+	}
+	if err := pl.write(ctx, changed); err != nil {
+		return err
+	}
+	return pl.start(ctx, changed)
+}
+
+// placing gathers what a round of placement is made from.
+func (pl *Placer) placing() Placing {
+	pc := Placing{Quotas: pl.quotas, Used: map[TeamID]int{}, Reserve: pl.opts.Reserve, Learner: pl.learner, Judge: pl.judge, Now: pl.opts.Now()}
+	sn := pl.fleet.Snapshot()
+	views := map[platform.InstanceID]*View{}
+	for _, in := range sn.SortedInstances() {
+		wk := &View{ID: in.ID, Total: pl.opts.Total, Slots: pl.opts.Slots, Usable: sn.Serving(in.ID) && !sn.Gone(in.ID) && in.Hold == nil}
+		views[in.ID] = wk
+		pc.Workers = append(pc.Workers, wk)
+	}
+	for _, jb := range pl.jobs {
+		switch jb.State {
+		case JobQueued:
+			pc.Queue = append(pc.Queue, jb)
+		case JobRunning:
+			pc.Used[jb.Team]++
+			if wk := views[jb.Instance]; wk != nil {
+				wk.Taken, wk.Busy = wk.Taken.plus(jb.Granted), wk.Busy+1
+			}
+		}
+	}
+	return pc
+}
+
+// write changes the rows of jobs in groups; each group holds only while the lease row is the placer's.
+func (pl *Placer) write(ctx context.Context, changed []*Job) error {
+	for group := range slices.Chunk(changed, groupRows) {
+		if err := pl.writeGroup(ctx, group); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (pl *Placer) writeGroup(ctx context.Context, group []*Job) error {
+	ctx, cancel := context.WithTimeout(ctx, placeAgain)
+	defer cancel()
+	writes := []platform.Write{{Table: platform.TableLease, Key: leaseKey, IfVersion: pl.lease, Check: true}}
+	for _, jb := range group {
+		raw, err := platform.Encode(jb)
+		if err != nil {
+			return err
+		}
+		writes = append(writes, platform.Write{Table: TableJob, Key: string(jb.ID), IfVersion: jb.version, Value: raw})
+	}
+	pl.before()
+	version, err := platform.CommitOnce(ctx, pl.table, platform.Audit{Actor: string(pl.opts.Entry), Action: "jobs", Subject: string(group[0].ID), Why: "placement", At: pl.opts.Now().UTC()}, writes...)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return eris.Wrap(ErrLapsed, conflict.Error())
+	}
+	if err != nil {
+		return eris.Wrap(err, "write jobs")
+	}
+	for _, jb := range group {
+		jb.version = version
+		pl.jobs[jb.ID] = jb
+	}
+	return nil
+}
+
+// start tells workers of tasks that are theirs by the table; one that cannot be told is asked again at the next renewal.
+func (pl *Placer) start(ctx context.Context, changed []*Job) error {
+	for _, jb := range changed {
+		if jb.State != JobRunning {
+			continue
+		}
+		pl.before()
+		if !pl.opts.Now().Before(jb.LeaseUntil) {
+			return ErrLapsed
+		}
+		err := pl.workers.Start(ctx, Task{Job: jb.ID, Attempt: jb.Attempt, Instance: jb.Instance, Granted: jb.Granted, LeaseUntil: jb.LeaseUntil})
+		if err != nil {
+			pl.opts.Log.Emit(event.PlacementFailed, zap.String("job", string(jb.ID)), zap.Error(err))
+		}
+	}
+	return nil
+}
