HEAD answered; a refusal of a named repeatable request is not called not run

Change: the body's length is asked, not the header's; without a claim the word is notRun only on the try that the caller says is the first, or without an id. The headers that Connection names are dropped; an answer's header is bounded. The soak now counts runs of every request that was called not run.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -87,6 +87,15 @@
 	ticket *ticket
 }
 
+// prior returns what is known of earlier tries without asking anybody.
+// An unrepeatable request's claim tells; a request without an id of the caller's is another one each time that it is sent.
+func (rq *Request) prior() endpoint.Prior {
+	if rq.Mark == MarkUnrepeatable || !rq.Named || rq.Try == 1 {
+		return endpoint.PriorNone
+	}
+	return endpoint.PriorUnknown
+}
+
 // Key returns the place of the request's claim row.
 func (rq *Request) Key() Key {
 	return KeyOf(rq.Caller, rq.ID)
--- a/caller/server.go
+++ b/caller/server.go
@@ -143,7 +143,7 @@
 // run sends the request as its mark allows.
 func (sv *Server) run(ctx context.Context, req *Request) Word {
 	if cause := sv.refusal(req); cause != nil {
-		word := Word{Outcome: endpoint.OutcomeNotRun, Cause: cause, RetryAfter: sv.retryOf(cause)}
+		word := Word{Outcome: endpoint.Fold(req.prior(), nil), Cause: cause, RetryAfter: sv.retryOf(cause)}
 		if req.Mark != MarkUnrepeatable {
 			return word
 		}
@@ -211,13 +211,9 @@
 
 // wordOf turns the end of a call into the word on its request.
 func (sv *Server) wordOf(req *Request, rs endpoint.Result) Word {
-	prior := endpoint.PriorNone
-	if req.Mark != MarkUnrepeatable && req.Try > 1 {
-		prior = endpoint.PriorUnknown
-	}
 	word := Word{Outcome: rs.Outcome, Answer: rs.Answer, Cause: rs.Err, RetryAfter: rs.RetryAfter, Pending: rs.Pending}
 	if rs.Answer == nil {
-		word.Outcome = endpoint.Fold(prior, rs.Ends)
+		word.Outcome = endpoint.Fold(req.prior(), rs.Ends)
 	}
 	word.Session = sv.sessionToken(req, rs)
 	return word
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -31,7 +31,19 @@
 }
 
 // hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
+
+// dropHopHeaders removes what belongs to one connection, and what the connection's own header names.
+func dropHopHeaders(hd http.Header) {
+	for _, value := range hd.Values("Connection") {
+		for _, name := range strings.Split(value, ",") {
+			hd.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		hd.Del(name)
+	}
+}
 
 // onceBody hides what net/http needs to send a request a second time by itself.
 type onceBody struct {
@@ -92,9 +104,7 @@
 	rq := &http.Request{Method: call.Method, URL: target, Host: call.Host, Header: call.Header.Clone(), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	rq.ContentLength = int64(len(call.Body))
 	rq.Body = onceBody{bytes.NewReader(call.Body)}
-	for _, name := range hopHeaders {
-		rq.Header.Del(name)
-	}
+	dropHopHeaders(rq.Header)
 	rq.Header[HeaderAttempt] = []string{id}
 	rq.Header[HeaderRequestID] = []string{call.RequestID}
 	rq.Header[HeaderDeadline] = []string{strconv.FormatInt(call.Deadline.UnixMilli(), 10)}
@@ -150,13 +160,14 @@
 // read holds the body back until it is whole, or hands it over as a stream when it is too large for the buffers.
 func (rt *Router) read(cancel context.CancelFunc, pl place, rp *http.Response) ended {
 	answer := &Answer{Status: rp.StatusCode, Header: passedOn(rp.Header)}
-	reserved := rt.reserve(rp.ContentLength)
+	length := bodyLength(rp)
+	reserved := rt.reserve(length)
 	if reserved < 0 {
 		answer.Rest = &Rest{body: rp.Body, cancel: cancel, release: pl.release}
 		return ended{end: Answered, answer: answer, pl: pl}
 	}
 	answer.release = func() { rt.opts.Buffers.Give(reserved) }
-	body, err := readUpTo(rp.Body, rp.ContentLength, rt.opts.AnswerBytes)
+	body, err := readUpTo(rp.Body, length, rt.opts.AnswerBytes)
 	if err != nil {
 		answer.Release()
 		cancel()
@@ -172,6 +183,14 @@
 	return ended{end: Answered, answer: answer, pl: pl}
 }
 
+// bodyLength returns the length of the body that follows, negative if it is not known; what a header says of an answer to HEAD is not one.
+func bodyLength(rp *http.Response) int64 {
+	if rp.Body == http.NoBody {
+		return 0
+	}
+	return rp.ContentLength
+}
+
 // reserve takes memory for an answer of a length, or of an unknown one; it returns -1 when the answer must stream.
 func (rt *Router) reserve(length int64) int64 {
 	if length > int64(rt.opts.AnswerBytes) {
@@ -188,9 +207,7 @@
 
 // passedOn returns the headers of an answer that callers see.
 func passedOn(hd http.Header) http.Header {
-	for _, name := range hopHeaders {
-		hd.Del(name)
-	}
+	dropHopHeaders(hd)
 	for name := range hd {
 		if strings.HasPrefix(name, headerPrefix) {
 			hd.Del(name)
--- a/endpoint/router.go
+++ b/endpoint/router.go
@@ -18,6 +18,8 @@
 	leavingFor = 10 * time.Second
 	// idleTimeout is shorter than the usual keep-alive of servers, so that connections are rarely found closed.
 	idleTimeout = 4 * time.Second
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
 )
 
 // Router sends calls to endpoints.
@@ -89,11 +91,12 @@
 
 func (rt *Router) transport() *http.Transport {
 	return &http.Transport{
-		DialContext:           rt.opts.Dial,
-		DisableCompression:    true,
-		MaxIdleConnsPerHost:   idleConnections,
-		IdleConnTimeout:       idleTimeout,
-		ResponseHeaderTimeout: rt.opts.LongestRequest,
+		DialContext:            rt.opts.Dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idleTimeout,
+		ResponseHeaderTimeout:  rt.opts.LongestRequest,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -127,7 +127,7 @@
 			sk.counts[countNotRun].Add(1)
 			if rnd.IntN(2) == 0 {
 				sk.mu.Lock()
-				sk.notRun[id] = ak.method == http.MethodPost
+				sk.notRun[id] = true
 				sk.mu.Unlock()
 				return
 			}
@@ -296,21 +296,22 @@
 
 // check compares the callers' words with what the endpoints noted.
 func (sk *soak) check() {
-	runs := map[string]int{}
+	runs, once := map[string]int{}, map[string]int{}
 	unrepeatableRuns := 0
 	for _, ex := range sk.fl.journals() {
+		runs[ex.RequestID]++
 		if ex.Method == http.MethodPost {
-			runs[ex.RequestID]++
+			once[ex.RequestID]++
 			unrepeatableRuns++
 		}
 	}
-	for id, count := range runs {
+	for id, count := range once {
 		if count > 1 {
 			sk.t.Errorf("unrepeatable request %s ran %d times", id, count)
 		}
 	}
-	for id, isUnrepeatable := range sk.notRun {
-		if isUnrepeatable && runs[id] > 0 {
+	for id := range sk.notRun {
+		if runs[id] > 0 {
 			sk.t.Errorf("request %s was called not run and ran", id)
 		}
 	}
--- a/proof/whole_test.go
+++ b/proof/whole_test.go
@@ -126,3 +126,26 @@
 	}
 	fl.wantRuns("gone", 1)
 }
+
+func TestHeadIsAnsweredWhole(t *testing.T) {
+	fl := newFleet(t, shape{halls: 1, entries: 1, endpoints: 1})
+	rp := send(fl.entries[0].callers, ask{method: http.MethodHead, path: "/tally?size=500"})
+	wantOutcome(t, rp, "answered")
+	if length := rp.header.Get("Content-Length"); length == "" || length == "0" {
+		t.Errorf("length %q", length)
+	}
+}
+
+func TestRepeatableRefusedAfterAnEarlierTryRanIsNotCalledNotRun(t *testing.T) {
+	sp := twoHalls
+	sp.workMs = 1000
+	fl := newFleet(t, sp)
+	ak := unrepeatable("again").with(caller.HeaderRepeat, caller.RepeatYes)
+	go send(fl.entries[0].callers, ak)
+	eventually(t, "running", func() bool { return fl.executions("again") == 1 })
+	fl.entries[0].kill()
+	fl.list("w1", "w2", "w3", "w4")
+	eventually(t, "refused", func() bool { return send(fl.entries[1].callers, get).outcome == "notRun" })
+	wantOutcome(t, send(fl.entries[1].callers, ak), "unknown")
+	wantOutcome(t, send(fl.entries[1].callers, ak.with(caller.HeaderRequestID, "first").with(caller.HeaderTry, "1")), "notRun")
+}
