--- a/proof/keys_test.go
+++ b/proof/keys_test.go
@@ -37,7 +37,7 @@
 	}
 	change(st)
 	fl.write(filepath.Base(en.file), st)
-	lines := strings.Count(en.readLog(), "\n")
+	lines := len(strings.Split(en.readLog(), "\n"))
 	en.signal(syscall.SIGHUP)
 	eventually(fl.t, en.id+" read its settings again", func() bool {
 		log := strings.Split(en.readLog(), "\n")
--- a/worker/placer_test.go
+++ b/worker/placer_test.go
@@ -173,10 +173,13 @@
 	return jb
 }
 
-func (sh *shop) placer(ctx context.Context, entry platform.InstanceID) *worker.Placer {
+// placer starts a placer; before, if there is one, is called at each point at which it can be frozen.
+func (sh *shop) placer(ctx context.Context, entry platform.InstanceID, before ...func()) {
 	pl := worker.NewPlacer(sh.mm, sh.fm, sh.watch, worker.WithEntry(entry, platform.Incarnation(platform.NewID())), worker.WithReserve(2))
+	for _, fn := range before {
+		pl.SetBefore(fn)
+	}
 	go pl.Run(ctx)
-	return pl
 }
 
 // inShop runs a story under a synthetic clock and wants that no job ever ran twice at once.
@@ -296,7 +299,7 @@
 				mu.Unlock()
 			}
 		}
-		sh.placer(ctx, "e1").SetBefore(before)
+		sh.placer(ctx, "e1", before)
 		time.Sleep(2 * time.Second)
 		for round := range 8 {
 			mu.Lock()
@@ -306,7 +309,7 @@
 				sh.submit(nil)
 			}
 			other := platform.InstanceID(fmt.Sprintf("e%d", round+2))
-			sh.placer(ctx, other).SetBefore(before)
+			sh.placer(ctx, other, before)
 			time.Sleep(90 * time.Second)
 		}
 		time.Sleep(3 * time.Minute)
