--- a/caller/server.go
+++ b/caller/server.go
@@ -19,6 +19,8 @@
 )
 
 const (
+	// ownPrefix begins the paths that entry instances answer themselves.
+	ownPrefix = "/.aspenseam/"
 	// readyPath is where the platform's balancer asks whether to send callers here.
 	readyPath = "/.aspenseam/ready"
 	stopRetry = 100 * time.Millisecond
@@ -67,6 +69,8 @@
 		sv.serveTicket(wr)
 	case strings.HasPrefix(rq.URL.Path, CollectPath):
 		sv.collect(wr, rq)
+	case strings.HasPrefix(rq.URL.Path, ownPrefix):
+		sv.respondFault(wr, &Request{}, &fault{status: http.StatusNotFound, code: CodeBadRequest, findings: []string{"no such path below " + ownPrefix}})
 	default:
 		sv.serve(wr, rq)
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -16,6 +16,7 @@
 	SnapshotFromPeer  = Kind{203, "started from a peer's snapshot", zapcore.InfoLevel, "Nothing; the platform did not answer at start."}
 	SnapshotChanged   = Kind{204, "snapshot changed", zapcore.DebugLevel, "Nothing."}
 	RowRejected       = Kind{205, "row of the platform could not be read", zapcore.ErrorLevel, "Correct the row named in the field `key`; the last good one stays in force."}
+	MembershipEmpty   = Kind{206, "platform lists no instance; the last list stays in force", zapcore.ErrorLevel, "Look at the platform's membership."}
 	ClaimUnresolved   = Kind{301, "claim could not be written or read back in time", zapcore.WarnLevel, "Nothing was sent for this try; the caller was told."}
 	ResultNotStored   = Kind{302, "result of a claimed request could not be stored", zapcore.WarnLevel, "The answer can be collected from this entry instance only, while it runs."}
 	AnswerBroken      = Kind{303, "answer broke off after it had begun to stream; connection aborted", zapcore.WarnLevel, "Look at the endpoint named."}
@@ -42,7 +43,7 @@
 // Catalogue lists every event by number.
 var Catalogue = []Kind{
 	ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed, StopForced, Reloaded, ReloadFailed,
-	PlatformReached, PlatformLost, SnapshotFromPeer, SnapshotChanged, RowRejected,
+	PlatformReached, PlatformLost, SnapshotFromPeer, SnapshotChanged, RowRejected, MembershipEmpty,
 	ClaimUnresolved, ResultNotStored, AnswerBroken, SweepFailed,
 	EndpointEjected, EndpointReturned, EndpointLeaving, AnswerForeign, SessionsMoved,
 	PeerRejected,
--- a/proof/badinput_test.go
+++ b/proof/badinput_test.go
@@ -33,6 +33,7 @@
 		"everything wrong at once":   {post.with(caller.HeaderRepeat, "maybe").with(caller.HeaderTry, "0").with(caller.HeaderDeadline, "x"), http.StatusBadRequest, caller.CodeBadRequest, 3},
 		"body too large":             {ask{method: http.MethodPost, path: "/x", body: strings.Repeat("b", 20000)}, http.StatusRequestEntityTooLarge, caller.CodeTooLarge, 1},
 		"deadline past, once":        {unrepeatable("past").with(caller.HeaderDeadline, "1000"), http.StatusBadRequest, caller.CodeDeadlinePassed, 0},
+		"own path that is none":      {ask{method: http.MethodGet, path: "/.aspenseam/nothing"}, http.StatusNotFound, caller.CodeBadRequest, 1},
 		"answer to an id never sent": {ask{method: http.MethodGet, path: caller.CollectPath + "nothing"}, http.StatusNotFound, caller.CodeNoAnswer, 0},
 	} {
 		rp := send(en.callers, td.ak)
--- a/proof/routing_test.go
+++ b/proof/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -121,6 +122,17 @@
 	}
 }
 
+func TestMembershipThatIsEmptyIsNotBelieved(t *testing.T) {
+	fl := newFleet(t, shape{halls: 1, entries: 1, endpoints: 2})
+	control(t, http.MethodPut, fl.store, "/control/members", []platform.Member{}, nil)
+	eventually(t, "noticed", func() bool {
+		return strings.Contains(fl.entries[0].readLog(), "platform lists no instance")
+	})
+	if tl := load(t, fl.entries[0], 20, 2, get); tl.good.Load() != 20 {
+		t.Errorf("good %d of 20", tl.good.Load())
+	}
+}
+
 func TestConnectionsOfAnEndpointStayBelowItsBound(t *testing.T) {
 	fl := newFleet(t, shape{halls: 1, entries: 4, endpoints: 1, workMs: 20})
 	var wg sync.WaitGroup
