A whole server error is not forgotten

Cause, by reading: when a repeatable request got a server error and the attempt after it hung until the deadline, the word was 'answered' without an answer (TestWholeAnswerIsNotForgottenWhenAnotherAttemptHangs: 'answered with answer <nil> after [answered perhapsRun]'). Change: the whole answer is given, and what still runs is ended. Tasks' leases last five minutes, so that an ordinary outage stops none.

--- a/endpoint/deadline_test.go
+++ b/endpoint/deadline_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/aspenseam/aspenseam/endpoint"
+	"github.com/aspenseam/aspenseam/standin"
 )
 
 // TestDeadlinePassedBeforeTheFirstByteSendsNothing stands for a process that was frozen while its claim was written.
@@ -29,3 +31,19 @@
 		bd.close(rt)
 	})
 }
+
+// TestWholeAnswerIsNotForgottenWhenAnotherAttemptHangs: a server error is a whole answer, kept while the request is tried elsewhere.
+func TestWholeAnswerIsNotForgottenWhenAnotherAttemptHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, 2, 1, 0)
+		bd.endpoints[0].Switch(standin.EndpointFaults{Status: http.StatusInternalServerError})
+		bd.endpoints[1].Switch(standin.EndpointFaults{WorkMs: 10000})
+		rt := bd.router(endpoint.WithRandom(func(int) int { return 0 }))
+		rs := rt.Do(context.Background(), call(300*time.Millisecond))
+		if rs.Outcome != endpoint.OutcomeAnswered || rs.Answer == nil || rs.Answer.Status != http.StatusInternalServerError {
+			t.Errorf("%s with answer %v after %v", rs.Outcome, rs.Answer, rs.Ends)
+		}
+		time.Sleep(time.Minute)
+		bd.close(rt)
+	})
+}
--- a/endpoint/do.go
+++ b/endpoint/do.go
@@ -258,14 +258,16 @@
 	if rn.open == 0 {
 		return rn.giveUp()
 	}
+	if rn.failed != nil {
+		// A server error is a whole answer too, and better than none.
+		rn.cancelOpen()
+		return rn.result(rn.failed)
+	}
 	for range rn.open {
 		rn.ends = append(rn.ends, PerhapsRun)
 	}
 	if rn.call.OnLate == nil {
-		for _, cancel := range rn.cancels {
-			cancel()
-		}
-		rn.discardOpen()
+		rn.cancelOpen()
 		return rn.result(nil)
 	}
 	go rn.late(rn.open)
@@ -274,6 +276,14 @@
 	return rs
 }
 
+// cancelOpen ends the attempts that still run.
+func (rn *run) cancelOpen() {
+	for _, cancel := range rn.cancels {
+		cancel()
+	}
+	rn.discardOpen()
+}
+
 // late waits for the attempts that outlived the call.
 func (rn *run) late(open int) {
 	var answer *Answer
--- a/worker/placer.go
+++ b/worker/placer.go
@@ -22,7 +22,7 @@
 const (
 	defaultPlaceEvery = 250 * time.Millisecond
 	defaultPlaceLease = 4 * time.Second
-	defaultTaskLease  = 30 * time.Second
+	defaultTaskLease  = 5 * time.Minute
 	// groupRows is how many rows change in one transaction, so that waves of jobs take few writes.
 	groupRows  = 50
 	placeAgain = 5 * time.Second
