--- a/peer/client.go
+++ b/peer/client.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -127,8 +128,9 @@
 	return best, nil
 }
 
-// Push hands rows that were just read from the platform to all others, without waiting.
+// Push hands rows that were just read from the platform or committed to all others, without waiting; leases can wait for the next poll.
 func (cl *Client) Push(ctx context.Context, rows []platform.Row) {
+	rows = slices.DeleteFunc(slices.Clone(rows), func(rw platform.Row) bool { return rw.Table == platform.TableLease })
 	if len(rows) == 0 || len(rows) > pushRows {
 		return
 	}
