A caller whose body is refused hears the refusal

Cause: with the buffers full the refusal was answered without reading the body, and net/http then closes the connection under the caller that still writes: 55 of 240 callers got no word (TestMemoryStaysBoundedUnderManyLargeBodies: 'no outcome: {status:0 ...'). Change: what is refused is read and thrown away, within bounds of bytes and time. For a request under an id the refusal is notRun on its first try only.

--- a/caller/intake.go
+++ b/caller/intake.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +16,8 @@
 const (
 	maxNameLength = 128
 	maxTry        = 1000000
+	// thrownBytes is how much of a refused body is read, so that the caller hears the refusal.
+	thrownBytes = 16 << 20
 )
 
 // namePattern is what callers' names, request ids and services look like.
@@ -185,6 +186,7 @@
 }
 
 // readBody reads the body within its bounds; the memory is taken from the buffers until release is called.
+// A body that is refused is read and thrown away, as far as bounds allow: a caller that still writes would not hear the refusal.
 func (sv *Server) readBody(wr http.ResponseWriter, rq *http.Request) (body []byte, release func(), ft *fault) {
 	release = func() {}
 	if rq.ContentLength == 0 {
@@ -195,17 +197,24 @@
 		size = int64(sv.opts.BodyBytes)
 	}
 	if !sv.opts.Buffers.Take(size) {
+		throwAway(rq.Body)
 		return nil, release, &fault{status: http.StatusServiceUnavailable, code: CodeOverloaded, findings: []string{errBusy.Error()}}
 	}
-	release = func() { sv.opts.Buffers.Give(size) }
-	body, err := io.ReadAll(http.MaxBytesReader(wr, rq.Body, int64(sv.opts.BodyBytes)))
-	if err == nil {
-		return body, release, nil
+	body, err := io.ReadAll(io.LimitReader(rq.Body, int64(sv.opts.BodyBytes)+1))
+	if err == nil && len(body) <= sv.opts.BodyBytes {
+		return body, func() { sv.opts.Buffers.Give(size) }, nil
 	}
-	release()
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, func() {}, &fault{status: http.StatusRequestEntityTooLarge, code: CodeTooLarge, findings: []string{fmt.Sprintf("the body must be at most %d bytes", sv.opts.BodyBytes)}}
+	sv.opts.Buffers.Give(size)
+	if err == nil {
+		throwAway(rq.Body)
+		return nil, release, &fault{status: http.StatusRequestEntityTooLarge, code: CodeTooLarge, findings: []string{fmt.Sprintf("the body must be at most %d bytes", sv.opts.BodyBytes)}}
 	}
-	return nil, func() {}, &fault{status: http.StatusRequestTimeout, code: CodeBadRequest, findings: []string{"the body did not come in whole and in time"}}
+	wr.Header().Set("Connection", "close")
+	return nil, release, &fault{status: http.StatusRequestTimeout, code: CodeBadRequest, findings: []string{"the body did not come in whole and in time"}}
+}
+
+// throwAway reads what a caller still sends, without keeping it; the server's time for reading bounds how long.
+func throwAway(body io.Reader) {
+	// Whether all of it came does not matter any more.
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, thrownBytes))
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -322,9 +322,13 @@
 	io.Writer
 }
 
-// respondFault answers a bad request with all its findings; nothing was run.
+// respondFault answers a bad request with all its findings, or one that there is no memory for; nothing was run.
 func (sv *Server) respondFault(wr http.ResponseWriter, req *Request, ft *fault) {
 	outcome := endpoint.OutcomeNotRun
+	if ft.code == CodeOverloaded && req.Named && req.Try != 1 {
+		// The message is sound, so the word is on the request, of which an earlier try may have run.
+		outcome = endpoint.OutcomeUnknown
+	}
 	sv.count(outcome)
 	hd := wr.Header()
 	hd.Set(HeaderOutcome, string(outcome))
--- a/proof/badinput_test.go
+++ b/proof/badinput_test.go
@@ -122,3 +122,26 @@
 		}
 	}
 }
+
+// TestMemoryStaysBoundedUnderManyLargeBodies sends far more at once than the buffers hold; what does not fit is refused, and the process does not grow by it.
+func TestMemoryStaysBoundedUnderManyLargeBodies(t *testing.T) {
+	if raceEnabled {
+		t.Skip("the race detector multiplies memory")
+	}
+	const senders, bodyMB, buffersMB = 120, 1, 4
+	sp := shape{halls: 1, entries: 1, endpoints: 4, workMs: 50, settings: map[string]map[string]any{"caller": {"bufferBytes": buffersMB << 20, "bodyBytes": bodyMB << 20}}}
+	fl := newFleet(t, sp)
+	en := fl.entries[0]
+	load(t, en, 20, 2, get)
+	before := en.residentMB(t)
+	large := ask{method: http.MethodPost, path: "/x", body: strings.Repeat("b", bodyMB<<20)}
+	tl := load(t, en, 2*senders, senders, large)
+	grown := en.residentMB(t) - before
+	t.Logf("%d bodies of %d MB, %d at a time, buffers of %d MB: %d answered, %d refused, the process grew by %.1f MB", 2*senders, bodyMB, senders, buffersMB, tl.answered.Load(), tl.notRun.Load(), grown)
+	if tl.notRun.Load() == 0 || tl.answered.Load() == 0 {
+		t.Error("the buffers were never full, or always")
+	}
+	if grown > senders*bodyMB/2 {
+		t.Errorf("the process grew by %.1f MB", grown)
+	}
+}
