--- a/caller/once.go
+++ b/caller/once.go
@@ -41,7 +41,6 @@
 			return oc.blind(errPlatformDown)
 		}
 		oc.nonce = Nonce(platform.NewID())
-		sv.records.hold(oc.key, oc.nonce)
 		rs := sv.router.Do(ctx, oc.call(ctx))
 		var held *heldError
 		if !errors.As(rs.Err, &held) {
--- a/caller/record.go
+++ b/caller/record.go
@@ -24,8 +24,6 @@
 	current *flight
 	// answer is the complete answer, kept for collection.
 	answer *endpoint.Answer
-	// held is the claim that this entry instance holds and may send or has sent.
-	held Nonce
 	// open counts attempts that outlived their caller.
 	open int
 	// released holds claims that were given back; nothing was sent under them and nothing ever will be.
@@ -153,19 +151,9 @@
 	})
 }
 
-// hold notes a claim before it is written.
-func (rs *records) hold(key Key, nonce Nonce) {
-	rs.with(key, func(rc *record) { rc.held = nonce })
-}
-
 // release notes that nothing was sent under a claim and nothing will be.
 func (rs *records) release(key Key, nonce Nonce) {
-	rs.with(key, func(rc *record) {
-		rc.released[nonce] = true
-		if rc.held == nonce {
-			rc.held = ""
-		}
-	})
+	rs.with(key, func(rc *record) { rc.released[nonce] = true })
 }
 
 // ask returns what became of a claim here, or of any if nonce is empty; ok is false if nothing is known.
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -296,9 +296,6 @@
 		return
 	}
 	rt.Leave(st.id)
-	if rt.OnLeaving != nil {
-		rt.OnLeaving(st.id)
-	}
 }
 
 // refusedAs reports whether the endpoint's word was this one.
--- a/endpoint/router.go
+++ b/endpoint/router.go
@@ -34,8 +34,6 @@
 	Attempts atomic.Int64
 	// Calls counts calls to Do.
 	Calls atomic.Int64
-	// OnLeaving is told of an endpoint that said that it leaves; set before use.
-	OnLeaving func(platform.InstanceID)
 	// OnGone is told of an endpoint whose sessions need a successor; set before use.
 	OnGone func(platform.Instance)
 }
@@ -62,7 +60,7 @@
 	pooled  *http.Transport
 	health  health
 	limit   limit
-	// open counts attempts that go on, and sessions' ones among them.
+	// queued counts the requests that wait for this endpoint alone.
 	queued atomic.Int32
 	// leavingUntil is when the endpoint's own word that it leaves runs out, in nanoseconds since 1970.
 	leavingUntil atomic.Int64
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -21,3 +21,14 @@
 		}
 	}
 }
+
+func TestRequestMayRunLongerThanItsHeaderMayTake(t *testing.T) {
+	sp := shape{halls: 1, entries: 1, endpoints: 2, settings: map[string]map[string]any{"caller": {"headerTimeout": "300ms"}}}
+	fl := newFleet(t, sp)
+	for _, body := range []string{"", "x"} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			rp := send(fl.entries[0].callers, ask{method: method, path: "/tally?workMs=1200", body: body})
+			wantOutcome(t, rp, "answered")
+		}
+	}
+}
