An executor's lease is taken over the row that it was read from

The lease was written over the row's version at the time of the write, so one that had seen no lease could overwrite a new one. Only work was doubled: every step is conditional by itself. Change: the version is that of the row which was decided from.

--- a/operator/executor.go
+++ b/operator/executor.go
@@ -129,8 +129,9 @@
 	waiting := ex.steps(ctx, pn, &sight{usage: usage})
 	if !slices.Equal(waiting, lease.Waiting) {
 		ex.note(pn, waiting)
-		lease, _ = ex.leaseOf(pn.ID)
-		ex.writeLease(ctx, lease, waiting)
+		if lease, free := ex.leaseOf(pn.ID); free {
+			ex.writeLease(ctx, lease, waiting)
+		}
 	}
 }
 
@@ -276,6 +277,7 @@
 	if known && !rw.Deleted {
 		// A lease that cannot be read is treated as free; no promise rests on it.
 		lease, _ = platform.Decode[PlanLease](rw)
+		lease.version = rw.Version
 	}
 	mine := lease.Holder == ex.opts.Entry && lease.Incarnation == ex.opts.Incarnation
 	return lease, mine || !ex.opts.Now().Before(lease.Until)
@@ -292,14 +294,13 @@
 }
 
 func (ex *Executor) writeLease(ctx context.Context, lease PlanLease, waiting []string) bool {
-	version := ex.rows.Snapshot().Rows[platform.RowKey{Table: platform.TableLease, Key: string(lease.Plan)}].Version
 	lease.Holder, lease.Incarnation, lease.Waiting = ex.opts.Entry, ex.opts.Incarnation, waiting
 	lease.Until = ex.opts.Now().Add(ex.opts.LeaseFor)
 	raw, err := platform.Encode(lease)
 	if err != nil {
 		return false
 	}
-	wt := platform.Write{Table: platform.TableLease, Key: string(lease.Plan), IfVersion: version, Value: raw}
+	wt := platform.Write{Table: platform.TableLease, Key: string(lease.Plan), IfVersion: lease.version, Value: raw}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	committed, err := ex.table.Commit(ctx, platform.Tx{Writes: []platform.Write{wt}})
--- a/operator/plan.go
+++ b/operator/plan.go
@@ -130,6 +130,8 @@
 	Incarnation platform.Incarnation `json:"incarnation"`
 	Until       time.Time            `json:"until"`
 	Waiting     []string             `json:"waiting,omitempty"`
+	// version is that of the row which the lease was decoded from; 0 if there was none.
+	version platform.Version
 }
 
 // has reports whether the plan works on an instance.
