The test of connections pushes entry instances to their limit

Cause: with connections not divided it still passed: the endpoint refused what was too much, so no entry instance reached its own limit. It now takes all that it is given.

--- a/proof/routing_test.go
+++ b/proof/routing_test.go
@@ -135,6 +135,8 @@
 
 func TestConnectionsOfAnEndpointStayBelowItsBound(t *testing.T) {
 	fl := newFleet(t, shape{halls: 1, entries: 4, endpoints: 1, workMs: 20})
+	// It takes all that it is given, so that each entry instance goes up to its own limit.
+	fl.endpoints[0].fail(standin.EndpointFaults{WorkMs: 20, Backlog: 1000})
 	var wg sync.WaitGroup
 	for _, en := range fl.entries {
 		wg.Go(func() { load(t, en, 100, 30, get) })
