The soak's requests run long enough to be met by its faults

Cause: a trial with claims stolen from silent owners passed the soak: requests of 5 ms were rarely running when their entry instance was killed.

--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -27,6 +27,8 @@
 	soakCallers  = 12
 	soakSessions = 6
 	soakPatience = 4 * time.Second
+	// soakWorkMs is long enough that a kill or a freeze always meets requests that run.
+	soakWorkMs = 40
 )
 
 // soak is one run of mixed requests under seeded faults.
@@ -60,7 +62,7 @@
 	if testing.Short() {
 		t.Skip("long")
 	}
-	sp := shape{halls: 2, entries: 2, endpoints: 3, workMs: 5, settings: map[string]map[string]any{"endpoint": {"goneAfter": "700ms"}, "caller": {"longestRequest": "10s", "defaultTimeout": "5s"}}}
+	sp := shape{halls: 2, entries: 2, endpoints: 3, workMs: soakWorkMs, settings: map[string]map[string]any{"endpoint": {"goneAfter": "700ms"}, "caller": {"longestRequest": "10s", "defaultTimeout": "5s"}}}
 	sk := &soak{fl: newFleet(t, sp), t: t, until: time.Now().Add(*soakFor), faults: map[string]int{}, notRun: map[string]bool{}, lost: map[platform.InstanceID]time.Time{}}
 	var wg sync.WaitGroup
 	for number := range soakCallers {
@@ -262,9 +264,9 @@
 
 func (sk *soak) breakEndpoint(rnd *rand.Rand) {
 	ep := sk.endpoint(rnd)
-	ep.fail(standin.EndpointFaults{WorkMs: 5, BreakMid: true})
+	ep.fail(standin.EndpointFaults{WorkMs: soakWorkMs, BreakMid: true})
 	pause(rnd)
-	ep.fail(standin.EndpointFaults{WorkMs: 5})
+	ep.fail(standin.EndpointFaults{WorkMs: soakWorkMs})
 }
 
 func (sk *soak) platformFault(rnd *rand.Rand, fs standin.PlatformFaults) {
