--- a/settings/parse.go
+++ b/settings/parse.go
@@ -130,7 +130,7 @@
 	vl.Standardize()
 	raw := bytes.TrimSpace(vl.Pack())
 	if err := decode(raw, fl.target(ps.st)); err != nil {
-		ps.add(offset, fl.path, "must be a %s: %v", fl.typeName(), err)
+		ps.add(offset, fl.path, "must be of type %s: %v", fl.typeName(), err)
 		return
 	}
 	if message := fl.check(ps.st); message != "" {
