--- a/endpoint/trace_test.go
+++ b/endpoint/trace_test.go
@@ -35,26 +35,15 @@
 }
 
 func (rp *replay) step(t *testing.T, td *datadriven.TestData) string {
-	switch td.Cmd {
-	case "fleet":
-		return rp.fleet(td)
-	case "members":
-		return rp.members(td)
-	case "state":
-		return rp.state(td)
-	case "events":
-		return rp.events(td)
-	case "advance":
-		return rp.advance(td)
-	case "pick":
-		return rp.pick(td)
-	case "retries":
-		return rp.retries(td)
-	case "admit":
-		return rp.admit(td)
-	}
-	t.Fatalf("%s: unknown command %s", td.Pos, td.Cmd)
-	return ""
+	steps := map[string]func(*datadriven.TestData) string{
+		"fleet": rp.fleet, "members": rp.members, "state": rp.state, "events": rp.events,
+		"advance": rp.advance, "pick": rp.pick, "retries": rp.retries, "admit": rp.admit,
+	}
+	step := steps[td.Cmd]
+	if step == nil {
+		t.Fatalf("%s: unknown command %s", td.Pos, td.Cmd)
+	}
+	return step(td)
 }
 
 // fleet makes a router in hall h1 with endpoints name=hall.
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -252,6 +252,14 @@
 	return counts
 }
 
+// failAll switches the faults of every endpoint.
+func (fl *fleet) failAll(fs standin.EndpointFaults) {
+	fl.t.Helper()
+	for _, ep := range fl.endpoints {
+		ep.fail(fs)
+	}
+}
+
 // requestWrites counts the writes other than those of leases, which are written whether there are requests or not.
 func (fl *fleet) requestWrites() int64 {
 	fl.t.Helper()
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -201,13 +201,9 @@
 
 func TestUnrepeatableWhoseEndpointBreaksIsNotSentAgain(t *testing.T) {
 	fl := newFleet(t, twoHalls)
-	for _, ep := range fl.endpoints {
-		ep.fail(standin.EndpointFaults{BreakBefore: true})
-	}
+	fl.failAll(standin.EndpointFaults{BreakBefore: true})
 	wantOutcome(t, send(fl.entries[0].callers, unrepeatable("broken")), "unknown")
-	for _, ep := range fl.endpoints {
-		ep.fail(standin.EndpointFaults{})
-	}
+	fl.failAll(standin.EndpointFaults{})
 	for _, en := range fl.entries {
 		wantOutcome(t, send(en.callers, unrepeatable("broken")), "unknown")
 	}
@@ -216,18 +212,14 @@
 
 func TestUnrepeatableRefusedByEveryEndpointRunsLater(t *testing.T) {
 	fl := newFleet(t, twoHalls)
-	for _, ep := range fl.endpoints {
-		ep.fail(standin.EndpointFaults{Refuse: "full"})
-	}
+	fl.failAll(standin.EndpointFaults{Refuse: "full"})
 	rp := send(fl.entries[0].callers, unrepeatable("refused"))
 	wantOutcome(t, rp, "notRun")
 	if rp.problem(t).RetryAfterMs == 0 {
 		t.Error("no time to come back")
 	}
 	fl.wantRuns("refused", 0)
-	for _, ep := range fl.endpoints {
-		ep.fail(standin.EndpointFaults{})
-	}
+	fl.failAll(standin.EndpointFaults{})
 	for _, en := range fl.entries {
 		wantOutcome(t, send(en.callers, unrepeatable("refused")), "answered")
 	}
--- a/proof/whole_test.go
+++ b/proof/whole_test.go
@@ -12,9 +12,7 @@
 
 func TestAnswerThatBreaksOffIsNeverPassedOnAsWhole(t *testing.T) {
 	fl := newFleet(t, twoHalls)
-	for _, ep := range fl.endpoints {
-		ep.fail(standin.EndpointFaults{BreakMid: true})
-	}
+	fl.failAll(standin.EndpointFaults{BreakMid: true})
 	single := ask{method: http.MethodPost, path: "/tally", body: "x"}
 	wantOutcome(t, send(fl.entries[0].callers, single), "unknown")
 	wantOutcome(t, send(fl.entries[0].callers, ask{method: http.MethodGet, path: "/tally"}), "unknown")
@@ -50,9 +48,7 @@
 
 func TestAnswerWithoutALengthIsNotTakenForWhole(t *testing.T) {
 	fl := newFleet(t, twoHalls)
-	for _, ep := range fl.endpoints {
-		ep.fail(standin.EndpointFaults{NoLength: true})
-	}
+	fl.failAll(standin.EndpointFaults{NoLength: true})
 	wantOutcome(t, send(fl.entries[0].callers, ask{method: http.MethodPost, path: "/tally"}), "unknown")
 }
 
@@ -62,9 +58,7 @@
 	for range 10 {
 		wantOutcome(t, send(fl.entries[0].callers, get), "answered")
 	}
-	for _, ep := range fl.endpoints {
-		ep.fail(standin.EndpointFaults{Stale: true})
-	}
+	fl.failAll(standin.EndpointFaults{Stale: true})
 	foreign := 0
 	for range 30 {
 		rp := send(fl.entries[0].callers, get)
