What earlier owners started is over only for a confirmed owner

An owner that took a cell over waits for the leases of earlier owners on workers that it cannot reach, and then took them for over by its own clock alone. An owner after it that it has not heard of may meanwhile have looked at those workers, renewed their leases or taken note of their ends. The rule that stands for an owner's own leases (confirmed later than the lease's end) was missing for those of earlier owners, and for lives that the list of machines says have ended. Change: both wait until the ownership is confirmed later than that. TestEarlierLeasesAreOverOnlyForAConfirmedOwner fails without it.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -318,11 +318,25 @@
 		t.Fatalf("%s was started", st.Task.Job)
 	}
 	bd.core.Gone(bd.now, "gone")
+	bd.wantStarts(bd.core.Plan(bd.now), 0)
+	bd.pass(time.Millisecond)
 	if st := bd.wantStarts(bd.plan(), 1)[0]; st.Task.Job != "old" {
 		t.Fatalf("%s was started", st.Task.Job)
 	}
 }
 
+// TestEarlierLeasesAreOverOnlyForAConfirmedOwner: a later owner that this one has not heard of may have renewed them.
+func TestEarlierLeasesAreOverOnlyForAConfirmedOwner(t *testing.T) {
+	bd := newBed(t, 1)
+	bd.core.TakeOver(bd.now, bd.now, []Ref{{ID: "far", Address: "far"}}, true)
+	bd.add("old", 1, tasks(1))
+	bd.pass(bd.core.slow(bd.core.opts.Lease) + horizonMargin + time.Millisecond)
+	bd.silence("far")
+	bd.wantStarts(bd.core.Plan(bd.now), 0)
+	bd.pass(time.Millisecond)
+	bd.wantStarts(bd.plan(), 1)
+}
+
 // TestStopUnderWayCountsAsAway: a stop of the owner before is listed as running until it takes effect.
 func TestStopUnderWayCountsAsAway(t *testing.T) {
 	bd := newBed(t, 2)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -215,7 +215,10 @@
 		cr.release(now, pl, "its worker is gone")
 	}
 	cr.remove(wk)
-	cr.resolve(now, wk.info.ID, why)
+	if at, open := cr.unresolved[wk.info.ID]; open && now.Before(at) {
+		// What earlier owners started there is over. A later owner may have taken note of its end, so this one waits to be confirmed.
+		cr.unresolved[wk.info.ID] = now
+	}
 }
 
 // resolve notes that nothing runs unseen on a worker.
@@ -230,8 +233,9 @@
 // expire releases what ran on workers that have been silent for longer than their leases.
 func (cr *Core) expire(now time.Time) {
 	for id, at := range cr.unresolved {
-		if now.After(at) {
-			cr.resolve(now, id, "every earlier lease has run out")
+		// An owner after this one may have renewed what earlier ones started, unless this one is confirmed later than that.
+		if now.After(at) && cr.confirmed.After(at) {
+			cr.resolve(now, id, "what earlier owners started there is over")
 		}
 	}
 	for _, wk := range cr.list {
