--- /dev/null
+++ b/cell/burst_test.go
@@ -0,0 +1,205 @@
+package cell
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// burst is a pool without faults under a load that comes in bursts, for what placement costs and how many jobs are in time.
+type burst struct {
+	core   *Core
+	now    time.Time
+	agenda agenda
+	order  int
+	rnd    *rand.Rand
+	// runs and ends are the workers' own.
+	runs  map[WorkerID]map[job.Task]job.Attempt
+	ends  map[WorkerID][]End
+	last  map[WorkerID]int64
+	holds map[WorkerID]*Look
+	plans int
+	// starts counts attempts, inTime and late the jobs by their objectives.
+	starts, inTime, late int
+	arrived              map[job.ID]time.Time
+	goal                 map[job.ID]time.Duration
+	version              int64
+	wakeAt               time.Time
+}
+
+// Shape of the burst's jobs: as the users' short ones.
+const (
+	burstQueue  = job.QueueID("queue")
+	burstTask   = 800 * time.Millisecond
+	burstWidth  = 8
+	burstCPU    = 1500
+	burstMemory = 2000
+	// burstTrip is how long an order and its answer take.
+	burstTrip = 2 * time.Millisecond
+	// burstTick is how often events that have come are planned with.
+	burstTick = 5 * time.Millisecond
+)
+
+func newBurst(workers int, seed int64) *burst {
+	bt := &burst{
+		now: time.Unix(1_700_000_000, 0), rnd: rand.New(rand.NewSource(seed)), runs: map[WorkerID]map[job.Task]job.Attempt{}, ends: map[WorkerID][]End{},
+		last: map[WorkerID]int64{}, holds: map[WorkerID]*Look{}, arrived: map[job.ID]time.Time{}, goal: map[job.ID]time.Duration{}, version: 1,
+	}
+	bt.core = New("pool", 1, Options{})
+	bt.core.Configure([]job.Queue{{ID: burstQueue, Pool: "pool", MaxAttempts: 4, Stretch: 1.6, Slack: 600 * time.Millisecond}})
+	bt.core.TakeOver(bt.now, bt.now, nil, true)
+	for at := range workers {
+		id := WorkerID(fmt.Sprintf("w%03d", at))
+		bt.runs[id] = map[job.Task]job.Attempt{}
+		bt.core.Register(bt.now, Worker{ID: id, Machine: MachineID("m" + string(id)), Pool: "pool", Address: string(id), Rack: fmt.Sprintf("r%d", at/12), Room: job.Size{CPUMillis: 16000, MemoryMB: 32768}})
+	}
+	return bt
+}
+
+func (bt *burst) at(after time.Duration, do func()) {
+	bt.order++
+	heap.Push(&bt.agenda, event{bt.now.Add(after), bt.order, do})
+}
+
+// arrive hands in jobs, so many a second, for a time.
+func (bt *burst) arrive(perSecond float64, span time.Duration) {
+	count := int(perSecond * span.Seconds())
+	for at := range count {
+		bt.at(time.Duration(float64(at)/perSecond*float64(time.Second)), func() {
+			id := job.ID(fmt.Sprintf("%016x", len(bt.arrived)))
+			sp := &job.Spec{ID: id, Queue: burstQueue, Pool: "pool", Epoch: 1}
+			for step := range 1 + bt.rnd.Intn(2) {
+				st := job.Step{Count: 1 + bt.rnd.Intn(2*burstWidth-1), Size: job.Size{CPUMillis: burstCPU/2 + bt.rnd.Intn(burstCPU), MemoryMB: burstMemory}}
+				if step > 0 {
+					st.DependsOn = []int{step - 1}
+				}
+				sp.Steps = append(sp.Steps, st)
+			}
+			bt.arrived[id] = bt.now
+			bt.goal[id] = time.Duration(1.6*float64(len(sp.Steps))*float64(burstTask)*1.3) + 600*time.Millisecond
+			bt.core.Add(bt.now, Stored{Spec: sp})
+		})
+	}
+}
+
+// plan has the core plan and carries out its orders.
+func (bt *burst) plan() {
+	bt.plans++
+	for _, od := range bt.core.Plan(bt.now) {
+		bt.carry(od)
+	}
+}
+
+func (bt *burst) carry(od Order) {
+	switch order := od.(type) {
+	case Enlist:
+		bt.at(burstTrip, func() { bt.core.Enlisted(order.Workers) })
+	case Save:
+		bt.version++
+		version := bt.version
+		bt.at(2*burstTrip, func() {
+			bt.core.Saved(bt.now, version)
+			for _, rw := range order.Rows {
+				bt.ended(rw)
+			}
+		})
+	case Start:
+		bt.starts++
+		bt.at(burstTrip/2, func() { bt.runs[order.Worker][order.Task] = order.Attempt })
+		sent := bt.now
+		bt.at(burstTrip, func() {
+			bt.core.Ordered(bt.now, Ordered{Order: order, Outcome: Done, Sent: sent, Received: bt.now, Clock: bt.clock()})
+		})
+		bt.at(time.Duration(float64(burstTask)*(0.7+0.6*bt.rnd.Float64())), func() { bt.end(order) })
+	case Look:
+		bt.at(burstTrip/2, func() { bt.look(order) })
+	}
+}
+
+// end ends an attempt and answers a look that waits for it.
+func (bt *burst) end(st Start) {
+	delete(bt.runs[st.Worker], st.Task)
+	bt.last[st.Worker]++
+	bt.ends[st.Worker] = append(bt.ends[st.Worker], End{Number: bt.last[st.Worker], Task: st.Task, Attempt: st.Attempt, How: EndDone})
+	if lk := bt.holds[st.Worker]; lk != nil {
+		bt.holds[st.Worker] = nil
+		bt.answer(*lk)
+	}
+}
+
+func (bt *burst) look(lk Look) {
+	ends := bt.ends[lk.Worker]
+	for len(ends) > 0 && ends[0].Number <= lk.Observed {
+		ends = ends[1:]
+	}
+	bt.ends[lk.Worker] = ends
+	if len(ends) > 0 && ends[len(ends)-1].Number > lk.Observed || lk.Wait == 0 {
+		bt.answer(lk)
+		return
+	}
+	bt.holds[lk.Worker] = &lk
+	bt.at(lk.Wait, func() {
+		if bt.holds[lk.Worker] == &lk {
+			bt.holds[lk.Worker] = nil
+			bt.answer(lk)
+		}
+	})
+}
+
+func (bt *burst) answer(lk Look) {
+	result := Looked{Look: lk, Outcome: Done, Sent: bt.now.Add(-burstTrip / 2), Clock: bt.clock(), Ended: append([]End(nil), bt.ends[lk.Worker]...)}
+	for tk, at := range bt.runs[lk.Worker] {
+		result.Running = append(result.Running, Running{Task: tk, Attempt: at, Progress: 50})
+	}
+	bt.at(burstTrip/2, func() {
+		result.Received = bt.now
+		bt.core.Looked(bt.now, result)
+	})
+}
+
+func (bt *burst) clock() int64 { return bt.now.UnixMilli() - 1_699_999_000_000 }
+
+// ended counts a job whose end is kept.
+func (bt *burst) ended(rw SaveRow) {
+	since, waiting := bt.arrived[rw.ID]
+	if rw.Progress.State != job.Completed || !waiting || since.IsZero() {
+		return
+	}
+	if bt.now.Sub(since) <= bt.goal[rw.ID] {
+		bt.inTime++
+	} else {
+		bt.late++
+	}
+	bt.arrived[rw.ID] = time.Time{}
+}
+
+// run plays until nothing is left to happen before the end.
+func (bt *burst) run(span time.Duration) {
+	end := bt.now.Add(span)
+	for tick := bt.now; tick.Before(end); tick = tick.Add(burstTick) {
+		for len(bt.agenda) > 0 && !bt.agenda[0].at.After(tick) {
+			ev := heap.Pop(&bt.agenda).(event)
+			bt.now = ev.at
+			ev.do()
+		}
+		bt.now = tick
+		bt.plan()
+	}
+}
+
+// BenchmarkBurst is a second of a pool of 250 workers that gets twice as many jobs as it can do.
+func BenchmarkBurst(b *testing.B) {
+	for b.Loop() {
+		bt := newBurst(250, 1)
+		bt.run(time.Second)
+		bt.arrive(500, 4*time.Second)
+		bt.run(4 * time.Second)
+		b.ReportMetric(float64(bt.starts)/4, "starts/s")
+		b.ReportMetric(float64(bt.plans), "plans")
+		b.ReportMetric(float64(bt.inTime), "inTime")
+	}
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -154,6 +154,9 @@
 	cordons    map[WorkerID]bool
 	urgentSave bool
 	run        runtimes
+	// neededSum is what the open jobs wanted at neededAt.
+	neededSum float64
+	neededAt  time.Time
 }
 
 // saveMark remembers which state of a job a save holds.
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -337,6 +337,25 @@
 	bd.wantStarts(bd.plan(), 1)
 }
 
+// TestRoomInUseIsTheSumOfWhatIsPlaced: it is kept along with each attempt.
+func TestRoomInUseIsTheSumOfWhatIsPlaced(t *testing.T) {
+	bd := newBed(t, 2)
+	bd.add("j", bedEpoch, tasks(5))
+	list := bd.wantStarts(bd.plan(), 5)
+	bd.ordered(list[0], Unwell)
+	bd.ordered(list[1], Done)
+	bd.ordered(list[2], Stale)
+	for _, wk := range bd.core.list {
+		var sum job.Size
+		for _, pl := range wk.placed {
+			sum = sum.Plus(pl.room)
+		}
+		if sum != wk.used {
+			t.Errorf("%s uses %+v, its attempts take %+v", wk.info.ID, wk.used, sum)
+		}
+	}
+}
+
 // TestStopUnderWayCountsAsAway: a stop of the owner before is listed as running until it takes effect.
 func TestStopUnderWayCountsAsAway(t *testing.T) {
 	bd := newBed(t, 2)
--- a/cell/learn.go
+++ b/cell/learn.go
@@ -84,6 +84,14 @@
 
 // chain returns how many steps follow each other in a job, and how many of them are still to come.
 func (js *jobState) chain() (whole, left int) {
+	if js.depth == 0 || js.restGen != js.gen || js.spec.Timed() {
+		js.depth, js.rest = js.measureChain()
+		js.restGen = js.gen
+	}
+	return js.depth, js.rest
+}
+
+func (js *jobState) measureChain() (whole, left int) {
 	depth := make([]int, len(js.spec.Steps))
 	rest := make([]int, len(js.spec.Steps))
 	rn := js.runs[max(0, js.nextRun-1)]
--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -812,7 +812,7 @@
 		}
 	}
 	for id, wk := range cr.workers {
-		md.note("%s listed %t fenced %t enlisted %t fails %d taken %+v unwell %t bad %t", id, wk.listed, wk.fenced, wk.enlisted, wk.fails, wk.taken(), md.now.Before(wk.unwellUntil), wk.judge.bad(md.now))
+		md.note("%s listed %t fenced %t enlisted %t fails %d taken %+v unwell %t bad %t", id, wk.listed, wk.fenced, wk.enlisted, wk.fails, wk.used, md.now.Before(wk.unwellUntil), wk.judge.bad(md.now))
 	}
 }
 
--- a/cell/place.go
+++ b/cell/place.go
@@ -26,32 +26,79 @@
 
 // place starts tasks, the most pressing jobs first.
 func (cr *Core) place(now time.Time) {
-	usable := cr.usable(now)
-	if len(usable) == 0 {
+	waiting := cr.waiting(now)
+	if len(waiting) == 0 {
+		return
+	}
+	rd := &round{now: now, usable: cr.usable(now)}
+	if len(rd.usable) == 0 {
 		return
 	}
-	for _, js := range cr.sorted(now, usable) {
+	for _, js := range cr.sorted(now, waiting, len(rd.usable)) {
 		if js.carried && len(cr.unresolved) > 0 {
 			continue
 		}
-		for _, rn := range cr.due(now, js) {
-			for _, st := range rn.steps {
-				if st.done < len(st.tasks) && rn.ready(st) {
-					cr.placeStep(now, st, usable)
-				}
+		cr.placeJob(rd, js)
+	}
+}
+
+// waiting lists the open jobs some of whose tasks may have to be started.
+func (cr *Core) waiting(now time.Time) []*jobState {
+	var list []*jobState
+	for _, js := range cr.open {
+		if !js.ended() && (!js.settled || js.spec.Timed() && js.nextRun < js.spec.Runs()) {
+			list = append(list, js)
+		}
+	}
+	return list
+}
+
+// placeJob starts the tasks of a job that wait, as far as there is room. A job all of whose tasks that can start have been started is
+// settled until something of it ends.
+func (cr *Core) placeJob(rd *round, js *jobState) {
+	settled := true
+	for _, rn := range cr.due(rd.now, js) {
+		for _, st := range rn.steps {
+			if st.done < len(st.tasks) && rn.ready(st) && !cr.placeStep(rd, st) {
+				settled = false
 			}
 		}
 	}
+	js.settled = settled
 }
 
 // candidate is a worker that takes tasks, with its room at this moment.
 type candidate struct {
 	*worker
 	free job.Size
-	// serving and filling count the tasks there that serve users and that take what is left.
-	serving, filling int
-	// lasting counts the tasks there that last.
-	lasting int
+}
+
+// round is what one pass of placing knows.
+type round struct {
+	now    time.Time
+	usable []*candidate
+	// full holds rooms for which no worker has enough left, whatever else a task asks for.
+	full []job.Size
+}
+
+// hopeless reports whether no worker can have room for a task.
+func (rd *round) hopeless(room job.Size) bool {
+	for _, sz := range rd.full {
+		if sz.Fits(room) {
+			return true
+		}
+	}
+	return false
+}
+
+// filled notes that no worker has room for a task, if that is why none was chosen.
+func (rd *round) filled(room job.Size) {
+	for _, cd := range rd.usable {
+		if room.Fits(cd.free) {
+			return
+		}
+	}
+	rd.full = append(rd.full, room)
 }
 
 // usable lists the workers that may get tasks now.
@@ -61,31 +108,15 @@
 		if !cr.takes(now, wk) {
 			continue
 		}
-		cd := &candidate{worker: wk, free: wk.info.Room.Minus(wk.taken())}
 		if len(wk.foreign) > 0 {
 			// What runs there is not known by size.
 			continue
 		}
-		for _, pl := range wk.placed {
-			cd.count(pl.step.spec)
-		}
-		list = append(list, cd)
+		list = append(list, &candidate{worker: wk, free: wk.info.Room.Minus(wk.used)})
 	}
 	return list
 }
 
-func (cd *candidate) count(st *job.Step) {
-	if st.LatencyObjective > 0 {
-		cd.serving++
-	}
-	if st.BestEffort {
-		cd.filling++
-	}
-	if st.LongRunning {
-		cd.lasting++
-	}
-}
-
 // takes reports whether a worker may get new tasks.
 func (cr *Core) takes(now time.Time, wk *worker) bool {
 	switch {
@@ -103,6 +134,9 @@
 
 // due returns the runs of a job whose time has come, in order.
 func (cr *Core) due(now time.Time, js *jobState) []*run {
+	if !js.spec.Timed() && js.only != nil && !js.runsDone.Has(0) {
+		return js.only
+	}
 	for js.nextRun < js.spec.Runs() {
 		if at := js.spec.Due(js.nextRun); !at.IsZero() && at.After(now) {
 			cr.wakeAt(at)
@@ -126,44 +160,59 @@
 		}
 	}
 	slices.SortFunc(runs, func(one, other *run) int { return cmp.Compare(one.steps[0].run, other.steps[0].run) })
+	if !js.spec.Timed() {
+		js.only = runs
+	}
 	return runs
 }
 
-// placeStep starts the tasks of a step that wait.
-func (cr *Core) placeStep(now time.Time, st *step, usable []*candidate) {
+// placeStep starts the tasks of a step that wait. It reports whether none is left waiting.
+func (cr *Core) placeStep(rd *round, st *step) bool {
+	now, room := rd.now, st.spec.Room()
 	var waiting []int
+	held := false
 	for at := range st.tasks {
 		ts := &st.tasks[at]
-		if ts.done || ts.place != nil || !ts.lostAt.IsZero() && !cr.confirmed.After(ts.lostAt) {
+		if ts.done || ts.place != nil {
+			continue
+		}
+		if !ts.lostAt.IsZero() && !cr.confirmed.After(ts.lostAt) {
+			held = true
 			continue
 		}
 		if ts.notBefore.After(now) {
 			cr.wakeAt(ts.notBefore)
+			held = true
 			continue
 		}
+		if rd.hopeless(room) {
+			return false
+		}
 		waiting = append(waiting, at)
 	}
 	if len(waiting) == 0 {
-		return
+		return !held
 	}
 	if st.since.IsZero() {
 		st.since = now
 	}
-	if cr.queues[st.job.spec.Queue].Advice != nil && !cr.advised(now, st, usable) {
-		return
+	if cr.queues[st.job.spec.Queue].Advice != nil && !cr.advised(now, st, rd.usable) {
+		return false
 	}
 	if st.spec.Gang {
-		cr.placeGang(now, st, waiting, usable)
-		return
+		cr.placeGang(now, st, waiting, rd.usable)
+		return false
 	}
 	for _, at := range waiting {
-		cd := cr.choose(now, st, at, usable)
+		cd := cr.choose(now, st, at, rd.usable)
 		if cd == nil {
 			// The others of the step are as large.
-			return
+			rd.filled(room)
+			return false
 		}
 		cr.start(now, st, at, cd, st.tasks[at].attempt+1)
 	}
+	return !held
 }
 
 // choose returns the best worker for a task, nil if none has room.
@@ -270,7 +319,6 @@
 	ts.place = pl
 	wk.put(pl)
 	cd.free = cd.free.Minus(pl.room)
-	cd.count(st.spec)
 	st.job.begun = true
 	wk.busyAt = now
 	until := cr.until(wk, now)
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -32,18 +32,14 @@
 	key float64
 }
 
-// sorted returns the open jobs in the order in which they are placed. Where not all can meet their objectives, going by the
+// sorted returns jobs that wait in the order in which they are placed. Where not all can meet their objectives, going by the
 // earliest objective would make all of them miss it by a little; the smallest go first, since most of them can be saved.
-func (cr *Core) sorted(now time.Time, usable []*candidate) []*jobState {
-	list := make([]ranked, 0, len(cr.open))
-	unit, need := cr.unit(), 0.0
-	for _, js := range cr.open {
-		if !js.ended() {
-			list = append(list, cr.rank(now, js))
-			need += cr.needed(now, js, unit)
-		}
+func (cr *Core) sorted(now time.Time, waiting []*jobState, workers int) []*jobState {
+	list := make([]ranked, 0, len(waiting))
+	for _, js := range waiting {
+		list = append(list, cr.rank(now, js))
 	}
-	if need <= float64(len(usable)) {
+	if cr.need(now, float64(workers)) <= float64(workers) {
 		for at := range list {
 			if list[at].urgency == inTime {
 				list[at].key = cr.laxity(now, list[at].js).Seconds()
@@ -60,6 +56,27 @@
 	return jobs
 }
 
+// needAge is how old a count of what the open jobs want may be, since it goes through all of them.
+const needAge = 50 * time.Millisecond
+
+// need is how many machines the open jobs want; it is not counted further once it exceeds most.
+func (cr *Core) need(now time.Time, most float64) float64 {
+	if now.Sub(cr.neededAt) < needAge {
+		return cr.neededSum
+	}
+	unit, sum := cr.unit(), 0.0
+	for _, js := range cr.open {
+		if !js.ended() {
+			sum += cr.needed(now, js, unit)
+		}
+		if sum > most {
+			break
+		}
+	}
+	cr.neededSum, cr.neededAt = sum, now
+	return sum
+}
+
 func (cr *Core) rank(now time.Time, js *jobState) ranked {
 	rk := ranked{js: js, priority: cr.queues[js.spec.Queue].Priority}
 	left := cr.laxity(now, js)
--- a/cell/task.go
+++ b/cell/task.go
@@ -34,6 +34,13 @@
 	// carried means that an earlier owner may have started tasks of it.
 	carried bool
 	endedAt time.Time
+	// settled means that no task of it waits to be started, until something of it ends.
+	settled bool
+	// only is the one run of a job without due times, once it has begun.
+	only []*run
+	// depth is how many steps follow each other, rest how many of them are still to come as of restGen; both count from 1.
+	depth, rest int
+	restGen     int
 	// archived means that the table of open jobs has it no more.
 	archived bool
 }
@@ -173,6 +180,7 @@
 // change notes that a job's progress is to be saved.
 func (cr *Core) change(js *jobState) {
 	js.gen++
+	js.settled = false
 	cr.dirty[js.spec.ID] = js
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -94,12 +94,16 @@
 	// leaseEnd is when, on the owner's clock, the last lease given has surely run out.
 	leaseEnd time.Time
 	// places holds the attempts on the worker by task, placed in the order in which they came. placed is replaced, never changed.
-	places   map[job.Task]*placement
-	placed   []*placement
-	foreign  map[job.Task]*foreignRun
-	held     []heldEnd
-	read     int64
-	observed int64
+	places map[job.Task]*placement
+	placed []*placement
+	// used is the room of all that runs or may run on the worker; serving, filling and lasting count the tasks there that serve users, that
+	// take what is left, and that last.
+	used                      job.Size
+	serving, filling, lasting int
+	foreign                   map[job.Task]*foreignRun
+	held                      []heldEnd
+	read                      int64
+	observed                  int64
 	// told is the newest acknowledgement that the worker has confirmed.
 	told        int64
 	unwellUntil time.Time
@@ -137,16 +141,39 @@
 func (wk *worker) put(pl *placement) {
 	wk.places[pl.task] = pl
 	wk.placed = append(wk.placed[:len(wk.placed):len(wk.placed)], pl)
+	wk.used = wk.used.Plus(pl.room)
+	wk.count(pl.step.spec, 1)
 }
 
 // drop takes an attempt from a worker.
 func (wk *worker) drop(pl *placement) {
+	if wk.places[pl.task] != pl {
+		return
+	}
 	delete(wk.places, pl.task)
 	wk.placed = slices.DeleteFunc(slices.Clone(wk.placed), func(other *placement) bool { return other == pl })
+	wk.used = wk.used.Minus(pl.room)
+	wk.count(pl.step.spec, -1)
+}
+
+// count notes that a task of a step came or went.
+func (wk *worker) count(st *job.Step, by int) {
+	if st.LatencyObjective > 0 {
+		wk.serving += by
+	}
+	if st.BestEffort {
+		wk.filling += by
+	}
+	if st.LongRunning {
+		wk.lasting += by
+	}
 }
 
 // strangers are the tasks that run there without having been placed, in order.
 func (wk *worker) strangers() []job.Task {
+	if len(wk.foreign) == 0 {
+		return nil
+	}
 	return slices.SortedFunc(maps.Keys(wk.foreign), func(one, other job.Task) int {
 		return cmp.Or(cmp.Compare(one.Job, other.Job), cmp.Compare(one.Run, other.Run), cmp.Compare(one.Step, other.Step), cmp.Compare(one.Index, other.Index))
 	})
@@ -160,15 +187,6 @@
 // raise makes every order sent so far void at the worker once it has seen the new token.
 func (wk *worker) raise() { wk.counter++ }
 
-// taken is the room of all that runs or may run on the worker.
-func (wk *worker) taken() job.Size {
-	var sum job.Size
-	for _, pl := range wk.placed {
-		sum = sum.Plus(pl.room)
-	}
-	return sum
-}
-
 // until is the end of a lease given now, on the worker's clock; 0 if the clock is not known.
 func (cr *Core) until(wk *worker, now time.Time) int64 {
 	if wk.clockAt.IsZero() {
@@ -199,6 +217,7 @@
 func (cr *Core) release(now time.Time, pl *placement, why string) {
 	pl.worker.drop(pl)
 	pl.worker.busyAt = now
+	pl.step.job.settled = false
 	ts := &pl.step.tasks[pl.task.Index]
 	if ts.place == pl {
 		ts.place = nil
