Orders of large cells are carried out by peers

A small instance has 0.192 of a core, and 31 of the 37 were idle. Weighed: more cells a pool, which splits its room (a lasting job wants as many workers as it has tasks, in each cell) and still leaves all calls of a cell to one instance; peers that only carry out. The latter keeps one decision for a pool, and changes nothing in what the core is told: a peer that is lost is an order without an answer, which the tokens settle already. Change: from 40 workers on an owner hands orders in groups to peers in the workers' halls, chosen by weighted rendezvous, some 100 workers to a whole core, owners of cells last, and collects results in groups. Tests: every order and result the same at the other side; a peer that cannot be reached, is silent, is started anew, or loses results; a cell of 53 workers whose peers are taken away in the middle.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -72,6 +72,7 @@
 	WaveReported         = Kind{826, "state of a wave told", zapcore.InfoLevel, "Nothing."}
 	MachineMoved         = Kind{827, "move of a machine ordered", zapcore.InfoLevel, "Nothing."}
 	PoolLoad             = Kind{828, "load of a pool", zapcore.InfoLevel, "Nothing; needed, placed and lasting are in machines."}
+	RelayLost            = Kind{830, "peer that carries out orders failed", zapcore.WarnLevel, "Nothing if it passes; its workers are called through another peer, or directly."}
 	JobKnown             = Kind{829, "job was accepted before", zapcore.InfoLevel, "Nothing; the caller's second try is the same job."}
 )
 
@@ -87,5 +88,5 @@
 	QueuesInForce, OperatorRowRejected, RegistrationRejected, ControlRowRejected, JobRowRejected, StoreReached, StoreLost, StoreDetour,
 	CellClaimed, CellLoaded, CellLost, CellReleased, ClaimFailed, ReleaseFailed, SaveFailed, CellDecided,
 	JobAccepted, JobRefused, JobCancelled, AdviceFailed, PeerSilent, CarryRejected,
-	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown,
+	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown, RelayLost,
 }
--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -316,6 +316,8 @@
 	t       *testing.T
 	mm      *memory
 	workers *fakeWorkers
+	// workersAt are the workers as a node calls them; nil for the same ones everywhere.
+	workersAt func(name string) Workers
 	// retention is how long the state of an ended job is kept.
 	retention time.Duration
 }
@@ -355,7 +357,11 @@
 	for _, fault := range faults {
 		fault(way)
 	}
-	fl := New(Options{Name: name, Hall: "h", Address: ln.Addr().String(), Store: way, Workers: st.workers, Machines: noMachines{}, Format: plainFormat{}})
+	var workers Workers = st.workers
+	if st.workersAt != nil {
+		workers = st.workersAt(name)
+	}
+	fl := New(Options{Name: name, Hall: "h", Address: ln.Addr().String(), Store: way, Workers: workers, Machines: noMachines{}, Format: plainFormat{}})
 	srv := &http.Server{Handler: fl.Handler()}
 	go func() {
 		// It ends when the test closes it.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,7 @@
 	homes    homeCache
 	stopping atomic.Bool
 	duty     *duty
+	relay    *relay
 	// background ends when the process does.
 	background context.Context
 	fig        figures
@@ -115,6 +116,7 @@
 		fl.intakes[part] = newIntake(fl, part)
 	}
 	fl.duty = newDuty(fl)
+	fl.relay = newRelay(fl)
 	return fl
 }
 
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -46,6 +46,7 @@
 	events     []func(*cell.Core, time.Time)
 	progress   map[job.ID]Row
 	lanes      map[cell.WorkerID]*lane
+	relays     *relays
 	silenced   bool
 	// since is when the cell was claimed, named the workers that its row named then.
 	since time.Time
@@ -64,6 +65,7 @@
 		writes: make(chan cell.Order, 16), progress: map[job.ID]Row{}, lanes: map[cell.WorkerID]*lane{},
 		since: fl.opts.Now(), named: row.Workers,
 	}
+	ow.relays = newRelays(ow)
 	ow.rowVersion.Store(row.version)
 	ow.core = cell.New(job.PoolID(name), ow.epoch, ow.cellOptions())
 	ow.jobs = newWatch(fl, jobTable(name), jobsGap, jobsWait, ow.jobsChanged)
@@ -90,10 +92,14 @@
 	go ow.write(ctx)
 	go ow.archive(ctx)
 	go ow.census(ctx)
+	go ow.relays.run(ctx)
 	go ow.run(ctx)
 	fl.cordon()
 }
 
+// pool is the cell's.
+func (ow *owner) pool() job.PoolID { return job.PoolID(ow.name) }
+
 // cellOptions are the fleet's, with a log of this cell.
 func (ow *owner) cellOptions() cell.Options {
 	options := ow.fl.opts.Cell
@@ -222,17 +228,16 @@
 	switch order := od.(type) {
 	case cell.Look:
 		ow.fl.fig.looks.Inc(1)
-		go func() {
-			result := ow.fl.opts.Workers.Look(ctx, order)
-			ow.post(func(cr *cell.Core, now time.Time) { cr.Looked(now, result) })
-		}()
+		if !ow.relays.send(ctx, order.Worker, order) {
+			go func() { ow.looked(ow.fl.opts.Workers.Look(ctx, order)) }()
+		}
 	case cell.Start:
 		ow.fl.fig.starts.Inc(1)
-		ow.lane(order.Worker).add(ctx, order)
+		ow.command(ctx, order.Worker, order)
 	case cell.Stop:
-		ow.lane(order.Worker).add(ctx, order)
+		ow.command(ctx, order.Worker, order)
 	case cell.Pace:
-		ow.lane(order.Worker).add(ctx, order)
+		ow.command(ctx, order.Worker, order)
 	case cell.Save, cell.Enlist:
 		select {
 		case ow.writes <- od:
@@ -243,6 +248,34 @@
 	}
 }
 
+// command gives a worker an order, through a peer if one carries out this worker's.
+func (ow *owner) command(ctx context.Context, id cell.WorkerID, od cell.Order) {
+	if !ow.relays.send(ctx, id, od) {
+		ow.lane(id).add(ctx, od, ow.ordered)
+	}
+}
+
+func (ow *owner) looked(lk cell.Looked) {
+	ow.post(func(cr *cell.Core, now time.Time) { cr.Looked(now, lk) })
+}
+
+func (ow *owner) ordered(od cell.Ordered) {
+	ow.fl.fig.outcome(od.Outcome)
+	ow.post(func(cr *cell.Core, now time.Time) { cr.Ordered(now, od) })
+}
+
+// lane returns the lane of a worker whose orders are carried out here.
+func (ow *owner) lane(id cell.WorkerID) *lane {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ln, ok := ow.lanes[id]
+	if !ok {
+		ln = newLane(ow.fl.opts.Workers, ow.fl.opts.Now)
+		ow.lanes[id] = ln
+	}
+	return ln
+}
+
 func (ow *owner) advise(ctx context.Context, ad cell.Advise) {
 	var tickets []cell.Ticket
 	var valid time.Duration
--- /dev/null
+++ b/fleet/relay_test.go
@@ -0,0 +1,256 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/cell"
+	"github.com/aspenseam/aspenseam/job"
+	"github.com/aspenseam/aspenseam/peer"
+)
+
+var relayedTask = job.Task{Job: "0123456789abcdef", Run: 3, Step: 1, Index: 17}
+
+// TestOrdersReachAPeerWhole: an order is the same at the peer, whatever fields it has.
+func TestOrdersReachAPeerWhole(t *testing.T) {
+	for _, od := range []cell.Order{
+		cell.Look{Worker: "w", Address: "a:1", Token: 1 << 40, Until: 77, Observed: 5, Wait: 900 * time.Millisecond},
+		cell.Start{Worker: "w", Address: "a:1", Token: 9, Task: relayedTask, Attempt: 4, Payload: "text", Until: 88, Checkpoint: "point", Ticket: "ticket"},
+		cell.Stop{Worker: "w", Address: "a:1", Token: 9, Task: relayedTask, Attempt: 4},
+		cell.Pace{Worker: "w", Address: "a:1", Token: 9, Task: relayedTask, Attempt: 4, Percent: 30},
+	} {
+		if got := orderOf(relayOrder(6, od)); !reflect.DeepEqual(got, od) {
+			t.Errorf("%+v came as %+v", od, got)
+		}
+	}
+	if ro := relayOrder(7, cell.Save{}); ro != nil {
+		t.Errorf("a save is handed to a peer: %v", ro)
+	}
+}
+
+// TestResultOfALookComesBackWhole: what the worker listed is the same, and it counts as received when it reached the peer.
+func TestResultOfALookComesBackWhole(t *testing.T) {
+	lk := cell.Look{Worker: "w", Address: "a:1", Token: 9}
+	sent := time.Unix(1_700_000_000, 0)
+	came := sent.Add(time.Second)
+	want := cell.Looked{
+		Look: lk, Outcome: cell.Done, Sent: sent, Received: came.Add(-30 * time.Millisecond), Clock: 4711,
+		Running: []cell.Running{{Task: relayedTask, Attempt: 2, Checkpoint: "point", Progress: 41, Figure: 700}},
+		Ended:   []cell.End{{Number: 12, Task: relayedTask, Attempt: 1, How: cell.EndFailed, Checkpoint: "old"}},
+	}
+	rr := relayLooked(3, want)
+	rr.HeldMicros = 30_000
+	if got := lookedOf(rr, lk, sent, came); !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v came as %+v", want, got)
+	}
+	rr.Outcome = 99
+	if got := lookedOf(rr, lk, sent, came); got.Outcome != cell.Silent {
+		t.Errorf("an outcome that is not known here counts as %s", got.Outcome)
+	}
+}
+
+// TestRelaysAreStable: more workers add peers and change none, and a peer that comes or goes moves only its own share of workers.
+func TestRelaysAreStable(t *testing.T) {
+	links := func(count int) []*relayLink {
+		var list []*relayLink
+		for at := range count {
+			list = append(list, &relayLink{node: node{Name: fmt.Sprintf("n%d", at), Hall: fmt.Sprintf("h%d", at%3), Power: 0.2}})
+		}
+		return list
+	}
+	const workers = 300
+	moved, far := 0, 0
+	for at := range workers {
+		id, hall := fmt.Sprintf("w%d", at), fmt.Sprintf("h%d", at%3)
+		before, after := bestRelay(id, hall, links(12)), bestRelay(id, hall, links(13))
+		if before.node.Name != after.node.Name {
+			moved++
+		}
+		if before.node.Hall != hall {
+			far++
+		}
+	}
+	// One of five peers in its hall is new: a fifth of a third of the workers moves.
+	if moved > workers/8 || far > 0 {
+		t.Errorf("%d of %d workers moved, %d have a peer in another hall", moved, workers, far)
+	}
+	if bestRelay("w", "elsewhere", links(3)) == nil {
+		t.Error("a worker in a hall without peers has none")
+	}
+}
+
+// relayPeer is a peer that is reached in the test's own way.
+type relayPeer struct {
+	peer.Cells
+	call func(*peer.RelayRequest) (*peer.RelayResponse, error)
+}
+
+func (rp relayPeer) Relay(_ context.Context, rq *peer.RelayRequest) (*peer.RelayResponse, error) {
+	return rp.call(rq)
+}
+
+// linkTo is a link to a peer, of an owner that only takes events.
+func linkTo(call func(*peer.RelayRequest) (*peer.RelayResponse, error)) (*relayLink, *owner) {
+	fl := New(Options{Name: "one", Store: &storeWay{mm: newMemory()}, Workers: newWorkers(time.Second), Machines: noMachines{}, Format: plainFormat{}})
+	ow := &owner{fl: fl, name: "pool", signal: make(chan struct{}, 1)}
+	ow.relays = newRelays(ow)
+	ln := &relayLink{rs: ow.relays, node: node{Name: "two", Incarnation: "i2"}, peer: relayPeer{call: call}, open: map[uint64]errand{}}
+	return ln, ow
+}
+
+// waitEvents waits until the core would have been told so much.
+func waitEvents(t *testing.T, ow *owner, want int) {
+	t.Helper()
+	for until := time.Now().Add(longWait); ; time.Sleep(pollGap) {
+		ow.mu.Lock()
+		got := len(ow.events)
+		ow.mu.Unlock()
+		if got == want {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatalf("%d events, want %d", got, want)
+		}
+	}
+}
+
+// TestPeerThatFailsSettlesWhatItWasGiven: every order gets an outcome, and the next one is not given to that peer.
+func TestPeerThatFailsSettlesWhatItWasGiven(t *testing.T) {
+	for name, call := range map[string]func(*peer.RelayRequest) (*peer.RelayResponse, error){
+		"not reached": func(*peer.RelayRequest) (*peer.RelayResponse, error) {
+			return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+		},
+		"silent": func(*peer.RelayRequest) (*peer.RelayResponse, error) { return nil, errors.New("no answer") },
+		"started anew": func(*peer.RelayRequest) (*peer.RelayResponse, error) {
+			return &peer.RelayResponse{Incarnation: "i3"}, nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, ow := linkTo(call)
+			for range 3 {
+				ln.send(t.Context(), cell.Stop{Worker: "w", Task: relayedTask, Attempt: 1})
+			}
+			ln.mu.Lock()
+			given := int(ln.newest)
+			ln.mu.Unlock()
+			waitEvents(t, ow, given)
+			if ln.send(t.Context(), cell.Stop{Worker: "w"}) {
+				t.Error("an order is given to a peer that has just failed")
+			}
+		})
+	}
+}
+
+// TestResultThatIsLostCountsAsSilence: the peer is well, but never tells what became of an order.
+func TestResultThatIsLostCountsAsSilence(t *testing.T) {
+	ln, ow := linkTo(func(rq *peer.RelayRequest) (*peer.RelayResponse, error) {
+		return &peer.RelayResponse{Incarnation: "i2"}, nil
+	})
+	var ahead atomic.Int64
+	began := time.Now()
+	ow.fl.opts.Now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	ln.setPause(time.Millisecond)
+	if !ln.send(t.Context(), cell.Look{Worker: "w", Wait: time.Second}) {
+		t.Fatal("not taken")
+	}
+	ln.expire()
+	if ow.mu.Lock(); len(ow.events) != 0 && time.Since(began) < relayLate {
+		t.Error("settled before its time")
+	}
+	ow.mu.Unlock()
+	ahead.Store(int64(relayLate + 2*time.Second))
+	waitEvents(t, ow, 1)
+}
+
+// TestLargeCellRunsThroughPeers: most calls to workers are made by the owner's peers, every task is started once, and jobs end while
+// the peers are taken away one after the other.
+func TestLargeCellRunsThroughPeers(t *testing.T) {
+	st := newSite(t, 50*time.Millisecond)
+	for at := range relayAfter + 10 {
+		st.write(Row{Table: "registry", Key: fmt.Sprintf("x%d", at), Value: []byte("{}")})
+	}
+	counts := &callCount{fakeWorkers: st.workers, by: map[string]int{}}
+	st.workersAt = func(name string) Workers { return countedWorkers{counts, name} }
+	var nodes []*testNode
+	for _, name := range []string{"one", "two", "three"} {
+		nodes = append(nodes, st.start(name))
+	}
+	ow := st.owner(nodes...)
+	st.eventually("peers are chosen", func() bool {
+		rs := ow.ownerOf("pool").relays
+		rs.mu.Lock()
+		defer rs.mu.Unlock()
+		return len(rs.chosen) > relayAfter
+	})
+	submitted := 0
+	submit := func() {
+		for range 10 {
+			if vd := st.submit(ow, job.ID(fmt.Sprintf("%016x", submitted))); vd != Accepted {
+				t.Fatalf("verdict %d", vd)
+			}
+			submitted++
+		}
+	}
+	counts.reset()
+	submit()
+	for at := range submitted {
+		st.completed(ow, job.ID(fmt.Sprintf("%016x", at)))
+		st.once(job.ID(fmt.Sprintf("%016x", at)))
+	}
+	if own, all := counts.of(ow.opts.Name); own*2 > all {
+		t.Errorf("the owner made %d of %d calls to workers itself", own, all)
+	}
+	for _, nd := range nodes {
+		if nd != ow {
+			submit()
+			nd.stop()
+		}
+	}
+	submit()
+	for at := range submitted {
+		st.completed(ow, job.ID(fmt.Sprintf("%016x", at)))
+	}
+}
+
+// callCount counts the orders given to workers by node.
+type callCount struct {
+	*fakeWorkers
+	mu sync.Mutex
+	by map[string]int
+}
+
+func (cc *callCount) reset() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.by = map[string]int{}
+}
+
+// of returns the calls of a node, and of all.
+func (cc *callCount) of(name string) (own, all int) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	for _, count := range cc.by {
+		all += count
+	}
+	return cc.by[name], all
+}
+
+// countedWorkers are the workers as one node calls them.
+type countedWorkers struct {
+	*callCount
+	name string
+}
+
+func (cw countedWorkers) Order(ctx context.Context, od cell.Order) cell.Ordered {
+	cw.callCount.mu.Lock()
+	cw.by[cw.name]++
+	cw.callCount.mu.Unlock()
+	return cw.fakeWorkers.Order(ctx, od)
+}
