Feeds are read less often in a large fleet, and by instances without cells

Change: the gap of the control table grows with the number of instances, to 500 ms; an instance that owns no cell follows registrations every 900 ms.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -109,9 +109,9 @@
 	fl.peers = newPeers(fl)
 	fl.link = newLink(options.Store, fl.peers, options.Log, options.Now, fl.fig)
 	fl.members = newMembers(options.Now)
-	fl.control = newWatch(fl, tableControl, controlGap, controlWait, fl.controlChanged)
-	fl.operator = newWatch(fl, options.Format.OperatorTable(), operatorGap, quietWait, fl.operatorChanged)
-	fl.registry = newWatch(fl, options.Format.RegistryTable(), registryGap, quietWait, fl.registryChanged)
+	fl.control = newWatch(fl, tableControl, fl.controlPause, controlWait, fl.controlChanged)
+	fl.operator = newWatch(fl, options.Format.OperatorTable(), fixed(operatorGap), quietWait, fl.operatorChanged)
+	fl.registry = newWatch(fl, options.Format.RegistryTable(), fl.registryPause, quietWait, fl.registryChanged)
 	for part := range fl.intakes {
 		fl.intakes[part] = newIntake(fl, part)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -275,7 +276,7 @@
 	st := newSite(t, time.Hour)
 	one := st.start("one")
 	ow := &owner{fl: one.Fleet, name: "pool"}
-	ow.jobs = newWatch(one.Fleet, jobTable("pool"), jobsGap, jobsWait, func([]Row, time.Time) {})
+	ow.jobs = newWatch(one.Fleet, jobTable("pool"), fixed(jobsGap), jobsWait, func([]Row, time.Time) {})
 	if count, ok := ow.pending("q"); ok {
 		t.Fatalf("%d jobs told by an owner that knows none yet", count)
 	}
@@ -283,3 +284,30 @@
 		t.Fatal("a load told by an owner that has not planned yet")
 	}
 }
+
+// TestFeedsAreReadLessOftenInALargeFleet: each call has its price, and with more instances each answer carries more rows. Owners follow
+// the registrations of workers closely in any case.
+func TestFeedsAreReadLessOftenInALargeFleet(t *testing.T) {
+	fl := New(Options{Name: "one", Store: &storeWay{mm: newMemory()}, Machines: noMachines{}, Format: plainFormat{}})
+	last := time.Duration(0)
+	for _, nodes := range []int{6, 37, 300} {
+		for at := len(fl.members.nodes); at < nodes; at++ {
+			fl.members.nodes[fmt.Sprintf("n%d", at)] = node{}
+		}
+		pause := fl.controlPause()
+		if pause < last || pause > controlMost || nodes < controlNodes && pause != controlGap {
+			t.Errorf("%d instances: a gap of %v after one of %v", nodes, pause, last)
+		}
+		last = pause
+	}
+	if last != controlMost || 2*last >= deadAfter {
+		t.Errorf("the longest gap is %v; an instance counts as dead after %v", last, deadAfter)
+	}
+	if got := fl.registryPause(); got != registryIdle {
+		t.Errorf("without a cell: %v", got)
+	}
+	fl.owners["pool"] = &owner{}
+	if got := fl.registryPause(); got != registryGap {
+		t.Errorf("with a cell: %v", got)
+	}
+}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -135,7 +135,14 @@
 	return nd, ok
 }
 
-// addresses lists the other entry instances that were heard of last.
+// count is the number of entry instances that have a row.
+func (mb *members) count() int {
+	mb.mu.RLock()
+	defer mb.mu.RUnlock()
+	return len(mb.nodes)
+}
+
+// others lists the other entry instances that were heard of last.
 func (mb *members) others(name string) []node {
 	mb.mu.RLock()
 	defer mb.mu.RUnlock()
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -68,7 +68,7 @@
 	ow.relays = newRelays(ow)
 	ow.rowVersion.Store(row.version)
 	ow.core = cell.New(job.PoolID(name), ow.epoch, ow.cellOptions())
-	ow.jobs = newWatch(fl, jobTable(name), jobsGap, jobsWait, ow.jobsChanged)
+	ow.jobs = newWatch(fl, jobTable(name), fixed(jobsGap), jobsWait, ow.jobsChanged)
 	claimed := fl.opts.Now()
 	fl.mu.Lock()
 	fl.owners[name] = ow
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -13,13 +13,19 @@
 
 // Times of following tables. Each feed call has its price, so rows that come close together share one.
 const (
-	controlGap  = 150 * time.Millisecond
-	controlWait = time.Second
-	operatorGap = 50 * time.Millisecond
-	registryGap = 250 * time.Millisecond
-	jobsGap     = 600 * time.Millisecond
-	jobsWait    = 2 * time.Second
-	quietWait   = 1500 * time.Millisecond
+	controlGap = 150 * time.Millisecond
+	// controlMost is the gap of a large fleet: with more instances more rows change, and each feed call carries more of them.
+	controlMost = 500 * time.Millisecond
+	// controlNodes is how many instances share one controlGap.
+	controlNodes = 10
+	controlWait  = time.Second
+	operatorGap  = 50 * time.Millisecond
+	registryGap  = 250 * time.Millisecond
+	// registryIdle is the gap of an instance that owns no cell: it only learns of workers for the case that it takes one.
+	registryIdle = 900 * time.Millisecond
+	jobsGap      = 600 * time.Millisecond
+	jobsWait     = 2 * time.Second
+	quietWait    = 1500 * time.Millisecond
 	// feedMargin is added to a feed's wait before the call is given up.
 	feedMargin = 900 * time.Millisecond
 	// feedRetry is the pause after a feed call that failed.
@@ -34,7 +40,7 @@
 type watch struct {
 	fl    *Fleet
 	table string
-	gap   time.Duration
+	gap   func() time.Duration
 	wait  time.Duration
 	// changed is told of rows that are new to this watch, and of when the store was asked.
 	changed func(rows []Row, asked time.Time)
@@ -47,10 +53,29 @@
 	failing     bool
 }
 
-func newWatch(fl *Fleet, table string, gap, wait time.Duration, changed func([]Row, time.Time)) *watch {
+func newWatch(fl *Fleet, table string, gap func() time.Duration, wait time.Duration, changed func([]Row, time.Time)) *watch {
 	return &watch{fl: fl, table: table, gap: gap, wait: wait, changed: changed, rows: map[Place]Row{}}
 }
 
+// fixed is a gap that does not change.
+func fixed(gap time.Duration) func() time.Duration {
+	return func() time.Duration { return gap }
+}
+
+// controlPause is the gap between two feed calls for the control table.
+func (fl *Fleet) controlPause() time.Duration {
+	nodes := fl.members.count()
+	return min(controlMost, max(1, time.Duration(nodes)/controlNodes)*controlGap)
+}
+
+// registryPause is the gap between two feed calls for the registrations of workers.
+func (fl *Fleet) registryPause() time.Duration {
+	if len(fl.owned()) == 0 {
+		return registryIdle
+	}
+	return registryGap
+}
+
 // loaded reports whether the table has been read whole once.
 func (wt *watch) loaded() bool { return wt.ready.Load() }
 
@@ -69,7 +94,7 @@
 		} else {
 			err = wt.follow(ctx)
 		}
-		pause := wt.gap
+		pause := wt.gap()
 		switch {
 		case err == nil:
 			whole = false
