Ends seen before their jobs count at once; slow workers are told by how far their tasks come

Two causes, in one commit because they touch the same lines of a look: 1. An end of a job that the new owner does not know yet is held back, and was looked at again only when it stood first among the worker's ends; behind an end that waits to be kept it was passed over when its job came, and the task was started. Ruled out by reading: the epoch of the job's row, orders called unsent, results of peers. Ends of unknown jobs are forgotten only while the store answers. 2. How far tasks come between looks, against the learned run time, gives each worker's speed; below a third of the usual one it gets nothing new, and short tasks that would be done in less than half the time elsewhere are stopped and started there.

--- a/cell/answer.go
+++ b/cell/answer.go
@@ -47,7 +47,7 @@
 		if pl.phase == starting {
 			pl.phase = running
 		}
-		pl.acked, pl.moved = now, now
+		pl.acked, pl.seenAt = now, now
 		wk.nextLook = earliest(wk.nextLook, now.Add(cr.opts.LookGap))
 	case Silent:
 		// It may still happen. A look under a higher token settles it.
--- a/cell/burst_test.go
+++ b/cell/burst_test.go
@@ -18,7 +18,7 @@
 	order  int
 	rnd    *rand.Rand
 	// runs and ends are the workers' own.
-	runs  map[WorkerID]map[job.Task]job.Attempt
+	runs  map[WorkerID]map[job.Task]burstRun
 	ends  map[WorkerID][]End
 	last  map[WorkerID]int64
 	holds map[WorkerID]*Look
@@ -31,6 +31,13 @@
 	wakeAt               time.Time
 }
 
+// burstRun is an attempt on a worker.
+type burstRun struct {
+	attempt job.Attempt
+	since   time.Time
+	takes   time.Duration
+}
+
 // Shape of the burst's jobs: as the users' short ones.
 const (
 	burstQueue  = job.QueueID("queue")
@@ -46,7 +53,7 @@
 
 func newBurst(workers int, seed int64) *burst {
 	bt := &burst{
-		now: time.Unix(1_700_000_000, 0), rnd: rand.New(rand.NewSource(seed)), runs: map[WorkerID]map[job.Task]job.Attempt{}, ends: map[WorkerID][]End{},
+		now: time.Unix(1_700_000_000, 0), rnd: rand.New(rand.NewSource(seed)), runs: map[WorkerID]map[job.Task]burstRun{}, ends: map[WorkerID][]End{},
 		last: map[WorkerID]int64{}, holds: map[WorkerID]*Look{}, arrived: map[job.ID]time.Time{}, goal: map[job.ID]time.Duration{}, version: 1,
 	}
 	bt.core = New("pool", 1, Options{})
@@ -54,7 +61,7 @@
 	bt.core.TakeOver(bt.now, bt.now, nil, true)
 	for at := range workers {
 		id := WorkerID(fmt.Sprintf("w%03d", at))
-		bt.runs[id] = map[job.Task]job.Attempt{}
+		bt.runs[id] = map[job.Task]burstRun{}
 		bt.core.Register(bt.now, Worker{ID: id, Machine: MachineID("m" + string(id)), Pool: "pool", Address: string(id), Rack: fmt.Sprintf("r%d", at/12), Room: job.Size{CPUMillis: 16000, MemoryMB: 32768}})
 	}
 	return bt
@@ -109,12 +116,13 @@
 		})
 	case Start:
 		bt.starts++
-		bt.at(burstTrip/2, func() { bt.runs[order.Worker][order.Task] = order.Attempt })
+		takes := time.Duration(float64(burstTask) * (0.7 + 0.6*bt.rnd.Float64()))
+		bt.at(burstTrip/2, func() { bt.runs[order.Worker][order.Task] = burstRun{order.Attempt, bt.now, takes} })
 		sent := bt.now
 		bt.at(burstTrip, func() {
 			bt.core.Ordered(bt.now, Ordered{Order: order, Outcome: Done, Sent: sent, Received: bt.now, Clock: bt.clock()})
 		})
-		bt.at(time.Duration(float64(burstTask)*(0.7+0.6*bt.rnd.Float64())), func() { bt.end(order) })
+		bt.at(takes, func() { bt.end(order) })
 	case Look:
 		bt.at(burstTrip/2, func() { bt.look(order) })
 	}
@@ -152,8 +160,8 @@
 
 func (bt *burst) answer(lk Look) {
 	result := Looked{Look: lk, Outcome: Done, Sent: bt.now.Add(-burstTrip / 2), Clock: bt.clock(), Ended: append([]End(nil), bt.ends[lk.Worker]...)}
-	for tk, at := range bt.runs[lk.Worker] {
-		result.Running = append(result.Running, Running{Task: tk, Attempt: at, Progress: 50})
+	for tk, rn := range bt.runs[lk.Worker] {
+		result.Running = append(result.Running, Running{Task: tk, Attempt: rn.attempt, Progress: int(100 * bt.now.Sub(rn.since) / rn.takes)})
 	}
 	bt.at(burstTrip/2, func() {
 		result.Received = bt.now
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -404,6 +404,22 @@
 	}
 }
 
+// TestEndSeenBeforeItsJobCounts: also where it was listed behind one that is not kept yet.
+func TestEndSeenBeforeItsJobCounts(t *testing.T) {
+	bd := newBed(t, 1)
+	bd.add("known", bedEpoch, tasks(1))
+	st := bd.wantStarts(bd.plan(), 1)[0]
+	bd.ordered(st, Done)
+	before := End{Number: 2, Task: job.Task{Job: "late"}, Attempt: 1, How: EndDone}
+	bd.looked(bd.nextLook("w0"), nil, []End{bd.end(st, EndDone), before})
+	bd.add("late", 1, tasks(2))
+	for _, st := range starts(bd.plan()) {
+		if st.Task.Index == 0 {
+			t.Error("a task is started whose end was seen before its job")
+		}
+	}
+}
+
 // TestRoomInUseIsTheSumOfWhatIsPlaced: it is kept along with each attempt.
 func TestRoomInUseIsTheSumOfWhatIsPlaced(t *testing.T) {
 	bd := newBed(t, 2)
--- a/cell/learn.go
+++ b/cell/learn.go
@@ -26,6 +26,9 @@
 	task time.Duration
 	// spread is by which part of task the longest of a step's tasks takes longer for each doubling of their number.
 	spread float64
+	// ends counts the tasks that it was learned from, since the first one at first.
+	ends  int
+	first time.Time
 }
 
 // runtimes are the run times by queue.
@@ -40,12 +43,17 @@
 		return
 	}
 	took := now.Sub(pl.acked)
+	if pl.worker != nil && pl.worker.slow(now) {
+		// It tells of the worker, not of the task.
+		return
+	}
 	st.longest = max(st.longest, took)
 	known, ok := rt[st.job.spec.Queue]
 	if !ok {
-		known = runtime{took, firstSpread}
+		known = runtime{task: took, spread: firstSpread, first: now}
 	}
-	known.task += time.Duration(learnShare * float64(took-known.task))
+	known.ends++
+	known.task += time.Duration(max(learnShare, 1/float64(known.ends)) * float64(took-known.task))
 	rt[st.job.spec.Queue] = known
 }
 
@@ -65,7 +73,19 @@
 	if known, ok := rt[queue]; ok {
 		return known
 	}
-	return runtime{firstGuess, firstSpread}
+	return runtime{task: firstGuess, spread: firstSpread}
+}
+
+const (
+	// trustEnds is from how many ends on a mean is taken for what is usual, and trustTimes how many run times must have passed since the
+	// first: of tasks that were begun together the shortest end first.
+	trustEnds  = 30
+	trustTimes = 5
+)
+
+// trusted reports whether the mean can be held against a worker.
+func (rt runtime) trusted(now time.Time) bool {
+	return rt.ends >= trustEnds && now.Sub(rt.first) > trustTimes*rt.task
 }
 
 // longest is how long the longest of so many tasks takes.
--- a/cell/look.go
+++ b/cell/look.go
@@ -97,9 +97,8 @@
 		pl.phase = running
 		pl.acked = now
 	}
-	if rn.Progress != pl.progress {
-		pl.progress, pl.moved = rn.Progress, now
-	}
+	cr.paceOf(pl, wk.lookedAt, rn.Progress)
+	pl.progress = rn.Progress
 	pl.figure = rn.Figure
 	if rn.Checkpoint != "" {
 		pl.step.tasks[rn.Task.Index].checkpoint = rn.Checkpoint
@@ -117,7 +116,7 @@
 		return nil
 	}
 	ts.attempt = max(ts.attempt, rn.Attempt)
-	pl := &placement{task: rn.Task, step: st, worker: wk, attempt: rn.Attempt, phase: running, token: cr.token(wk), room: st.spec.Room(), ordered: now, acked: now, moved: now, pace: 100}
+	pl := &placement{task: rn.Task, step: st, worker: wk, attempt: rn.Attempt, phase: running, token: cr.token(wk), room: st.spec.Room(), ordered: now, acked: now, pace: 100}
 	if st.spec.BestEffort {
 		// How far an earlier owner throttled it is not known.
 		pl.pace = paceUnknown
@@ -154,13 +153,9 @@
 func (cr *Core) advance(now time.Time, wk *worker) {
 	for len(wk.held) > 0 {
 		he := &wk.held[0]
-		if he.js == nil && !he.unknown.IsZero() {
-			if st := cr.find(he.end.Task); st != nil {
-				cr.ended(now, wk, st, he.end)
-				he.js, he.gen = st.job, st.job.gen
-			} else if now.Sub(he.unknown) < 2*foreignFor {
-				return
-			}
+		if he.js == nil && !he.unknown.IsZero() && (now.Sub(he.unknown) < 2*foreignFor || now.Sub(cr.confirmed) > foreignFor) {
+			// Its job may be on its way, the more so while the store does not answer.
+			return
 		}
 		if he.js != nil && he.js.savedGen < he.gen {
 			return
--- a/cell/place.go
+++ b/cell/place.go
@@ -114,7 +114,7 @@
 		}
 		list = append(list, &candidate{worker: wk, free: wk.info.Room.Minus(wk.used)})
 	}
-	return list
+	return dropSlow(now, list)
 }
 
 // takes reports whether a worker may get new tasks.
@@ -315,7 +315,7 @@
 	wk := cd.worker
 	ts.attempt = attempt
 	tk := job.Task{Job: st.job.spec.ID, Run: st.run, Step: st.at, Index: at}
-	pl := &placement{task: tk, step: st, worker: wk, attempt: attempt, phase: starting, token: cr.token(wk), room: st.spec.Room(), ordered: now, moved: now, pace: 100}
+	pl := &placement{task: tk, step: st, worker: wk, attempt: attempt, phase: starting, token: cr.token(wk), room: st.spec.Room(), ordered: now, pace: 100}
 	ts.place = pl
 	wk.put(pl)
 	cd.free = cd.free.Minus(pl.room)
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -31,6 +31,7 @@
 	cr.stops(now)
 	if cr.mayRenew(now) {
 		cr.place(now)
+		cr.rescue(now)
 		cr.share(now)
 	}
 	cr.looks(now)
--- /dev/null
+++ b/cell/speed_test.go
@@ -0,0 +1,162 @@
+package cell
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// speedBed is a bed whose queue's run times are known.
+func speedBed(t *testing.T, workers int) *bed {
+	bd := newBed(t, workers)
+	bd.core.run["q"] = runtime{task: time.Second, spread: firstSpread, ends: trustEnds, first: bd.now.Add(-time.Minute)}
+	return bd
+}
+
+// come has a worker tell how far its tasks have come, after a while.
+func (bd *bed) come(id WorkerID, after time.Duration, progress map[job.Task]int) {
+	bd.t.Helper()
+	lk := bd.nextLook(id)
+	bd.pass(after)
+	var running []Running
+	for _, pl := range bd.core.workers[id].placed {
+		running = append(running, Running{Task: pl.task, Attempt: pl.attempt, Progress: progress[pl.task]})
+	}
+	bd.looked(lk, running, nil)
+}
+
+// TestTasksOfASlowWorkerAreStartedElsewhere: they are stopped there first, and the worker gets nothing new.
+func TestTasksOfASlowWorkerAreStartedElsewhere(t *testing.T) {
+	bd := speedBed(t, 2)
+	bd.add("j", bedEpoch, tasks(2))
+	list := bd.wantStarts(bd.plan(), 2)
+	for _, st := range list {
+		bd.ordered(st, Done)
+	}
+	if list[0].Worker != list[1].Worker {
+		t.Fatal("the test wants both on one worker")
+	}
+	id := list[0].Worker
+	bd.come(id, 500*time.Millisecond, map[job.Task]int{list[0].Task: 6, list[1].Task: 4})
+	stopped := map[job.Task]bool{}
+	for _, od := range bd.plan() {
+		if sp, ok := od.(Stop); ok {
+			stopped[sp.Task] = true
+		}
+	}
+	if len(stopped) != 2 {
+		t.Fatalf("%d tasks are stopped on a worker at a tenth of the usual speed", len(stopped))
+	}
+	bd.add("k", bedEpoch, tasks(1))
+	if st := bd.wantStarts(bd.plan(), 1)[0]; st.Worker == id {
+		t.Error("a slow worker gets a new task")
+	}
+	bd.looked(bd.nextLook(id), nil, []End{bd.end(list[0], EndStopped), bd.end(list[1], EndStopped)})
+	for _, st := range bd.wantStarts(bd.plan(), 2) {
+		if st.Worker == id || st.Attempt != 2 {
+			t.Errorf("attempt %d starts on %s", st.Attempt, st.Worker)
+		}
+	}
+}
+
+// TestSoundWorkerKeepsItsTasks: run times that vary by half do not make a worker slow.
+func TestSoundWorkerKeepsItsTasks(t *testing.T) {
+	rnd := rand.New(rand.NewSource(1))
+	const rounds = 2000
+	slow := 0
+	for range rounds {
+		var sp speed
+		now := time.Unix(100, 0)
+		left := 0.0
+		takes := 1.0
+		for range 40 {
+			now = now.Add(100 * time.Millisecond)
+			if left <= 0 {
+				takes = min(2.5, math.Exp(0.5*rnd.NormFloat64()-0.125))
+				left = takes
+			}
+			came := min(left, 0.1)
+			left -= came
+			sp.add(now, 0.1, came/takes)
+		}
+		if sp.ratio(now) < speedSlow {
+			slow++
+		}
+	}
+	if slow > rounds/100 {
+		t.Errorf("%d of %d sound workers with one task each seem slow", slow, rounds)
+	}
+}
+
+// TestStandstillIsSeenWithinARunTime: a worker on which nothing moves is slow after less than a mean run time.
+func TestStandstillIsSeenWithinARunTime(t *testing.T) {
+	var sp speed
+	now := time.Unix(100, 0)
+	for at := range 10 {
+		now = now.Add(100 * time.Millisecond)
+		sp.add(now, 0.1, 0)
+		if sp.ratio(now) < speedSlow {
+			if at > 7 {
+				t.Errorf("seen after %d tenths of a run time", at+1)
+			}
+			return
+		}
+	}
+	t.Error("a standstill is not seen")
+}
+
+// TestManySlowWorkersAreDoubted: if most seem slow the run times are wrong, and all are used.
+func TestManySlowWorkersAreDoubted(t *testing.T) {
+	now := time.Unix(100, 0)
+	for slow := range 9 {
+		var list []*candidate
+		for at := range 8 {
+			wk := &worker{info: Worker{ID: WorkerID(fmt.Sprint(at))}}
+			if at < slow {
+				wk.speed.add(now, 2, 0.1)
+			}
+			list = append(list, &candidate{worker: wk})
+		}
+		want := 8 - slow
+		if slow > 4 {
+			want = 8
+		}
+		if got := len(dropSlow(now, list)); got != want {
+			t.Errorf("%d of 8 workers seem slow: %d are used, want %d", slow, got, want)
+		}
+	}
+}
+
+// TestWorkerIsTriedAgainAfterItWasSlow: what was seen of it fades.
+func TestWorkerIsTriedAgainAfterItWasSlow(t *testing.T) {
+	wk := &worker{}
+	now := time.Unix(100, 0)
+	wk.speed.add(now, 1.5, 0)
+	if !wk.slow(now) {
+		t.Fatal("not slow")
+	}
+	if wk.slow(now.Add(3 * speedMemory)) {
+		t.Error("slow for ever")
+	}
+}
+
+// TestFirstEndsTellNothingOfWorkers: of tasks that were begun together the shortest end first, beside which the others seem slow.
+func TestFirstEndsTellNothingOfWorkers(t *testing.T) {
+	rt := runtimes{}
+	now := time.Unix(100, 0)
+	st := &step{job: &jobState{spec: &job.Spec{Queue: "q"}}, spec: &job.Step{Count: 2}, tasks: make([]taskState, 2)}
+	for at := range 2 * trustEnds {
+		took := time.Duration(200+10*at) * time.Millisecond
+		rt.learn(st, &placement{acked: now}, now.Add(took))
+		if known := rt.of("q"); known.trusted(now.Add(took)) && now.Add(took).Sub(known.first) <= trustTimes*known.task {
+			t.Fatalf("trusted after %d ends within %v", at+1, took)
+		}
+	}
+	if !rt.of("q").trusted(now.Add(time.Minute)) {
+		t.Error("never trusted")
+	}
+}
--- a/cell/task.go
+++ b/cell/task.go
@@ -90,6 +90,8 @@
 	// awayFrom is when a task that lasts was last at work.
 	awayFrom time.Time
 	restarts int
+	// rescues counts how often it was moved from a slow worker.
+	rescues int
 }
 
 // ended reports whether nothing more is to be started for the job.
@@ -137,9 +139,19 @@
 	}
 }
 
-// claimRuns adopts attempts of a job that were seen before the job was known: an earlier owner may hear of it sooner.
+// claimRuns takes ends of a job, and adopts its attempts, that were seen before the job was known: an earlier owner may hear of it sooner.
 func (cr *Core) claimRuns(now time.Time, id job.ID) {
 	for _, wk := range cr.list {
+		for at := range wk.held {
+			he := &wk.held[at]
+			if he.js != nil || he.end.Task.Job != id {
+				continue
+			}
+			if st := cr.find(he.end.Task); st != nil {
+				cr.ended(now, wk, st, he.end)
+				he.js, he.gen = st.job, st.job.gen
+			}
+		}
 		for _, tk := range wk.strangers() {
 			if tk.Job == id && cr.adopt(now, wk, Running{Task: tk, Attempt: wk.foreign[tk].attempt}) != nil {
 				delete(wk.foreign, tk)
@@ -250,6 +262,9 @@
 	ts.attempt = max(ts.attempt, en.Attempt)
 	pl := wk.places[en.Task]
 	if pl != nil && pl.attempt == en.Attempt {
+		if en.How == EndDone {
+			cr.paceOf(pl, wk.lookedAt, 100)
+		}
 		cr.release(now, pl, "ended "+string(en.How))
 	} else {
 		pl = nil
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -57,7 +57,8 @@
 	stopping bool
 	why      string
 	progress int
-	moved    time.Time
+	// seenAt is when the worker listed it last.
+	seenAt   time.Time
 	figure   int
 	pace     int
 	paceSent time.Time
@@ -110,6 +111,7 @@
 	told        int64
 	unwellUntil time.Time
 	judge       judge
+	speed       speed
 	// busyAt is when something last ran there, grabbed until when its machine is to move.
 	busyAt  time.Time
 	grabbed time.Time
