Tasks of lower priorities make room for what goes first; a peer that fails again is passed over longer

A peer that is cut off from an owner alone stays a member and was tried again every 2.5 s; the pause doubles up to 20 s.

--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -24,6 +24,7 @@
 	modelEvents   = 4000
 	modelPool     = job.PoolID("pool")
 	modelQueue    = job.QueueID("queue")
+	modelUrgent   = job.QueueID("urgent")
 	modelAttempts = 3
 	// knownWithin is how long a task may still be started by an owner that has not heard that another one completed the job with ends
 	// whose leases had run out; the users' rules allow it.
@@ -258,7 +259,10 @@
 		md.cut(ow)
 	}
 	ow.core.TakeOver(md.now, md.now, before, released)
-	ow.core.Configure([]job.Queue{{ID: modelQueue, Pool: modelPool, MaxAttempts: modelAttempts, Stretch: 1.5, Slack: time.Second}})
+	ow.core.Configure([]job.Queue{
+		{ID: modelQueue, Pool: modelPool, Priority: 2, MaxAttempts: modelAttempts, Stretch: 1.5, Slack: time.Second},
+		{ID: modelUrgent, Pool: modelPool, MaxAttempts: modelAttempts, Stretch: 1.5, Slack: 5 * time.Second},
+	})
 	for _, wk := range md.sorted() {
 		if wk.alive {
 			ow.core.Register(md.now, wk.info)
@@ -317,6 +321,9 @@
 	id := job.ID(fmt.Sprintf("j%d", len(md.jobs)))
 	known := md.owners[md.rnd.Intn(len(md.owners))]
 	sp := &job.Spec{ID: id, Queue: modelQueue, Pool: modelPool, AcceptedAt: md.now, Epoch: known.epoch}
+	if md.rnd.Intn(4) == 0 {
+		sp.Queue = modelUrgent
+	}
 	for at := range 1 + md.rnd.Intn(3) {
 		st := job.Step{Count: 1 + md.rnd.Intn(4), Size: job.Size{CPUMillis: 500 + 250*md.rnd.Intn(6), MemoryMB: 500}}
 		if at > 0 {
--- a/cell/place.go
+++ b/cell/place.go
@@ -185,9 +185,6 @@
 			held = true
 			continue
 		}
-		if rd.hopeless(room) {
-			return false
-		}
 		waiting = append(waiting, at)
 	}
 	if len(waiting) == 0 {
@@ -196,6 +193,10 @@
 	if st.since.IsZero() {
 		st.since = now
 	}
+	if rd.hopeless(room) {
+		cr.preempt(rd, st, len(waiting))
+		return false
+	}
 	if cr.queues[st.job.spec.Queue].Advice != nil && !cr.advised(now, st, rd.usable) {
 		return false
 	}
@@ -203,15 +204,17 @@
 		cr.placeGang(now, st, waiting, rd.usable)
 		return false
 	}
-	for _, at := range waiting {
+	for count, at := range waiting {
 		cd := cr.choose(now, st, at, rd.usable)
 		if cd == nil {
 			// The others of the step are as large.
 			rd.filled(room)
+			cr.preempt(rd, st, len(waiting)-count)
 			return false
 		}
 		cr.start(now, st, at, cd, st.tasks[at].attempt+1)
 	}
+	st.since = time.Time{}
 	return !held
 }
 
--- a/cell/task.go
+++ b/cell/task.go
@@ -63,6 +63,8 @@
 	tasks []taskState
 	done  int
 	since time.Time
+	// yielding are the tasks that are being stopped to make room for it.
+	yielding []*placement
 	// longest is the longest run time of a task of the step.
 	longest time.Duration
 	tickets map[WorkerID]string
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -148,6 +148,27 @@
 	}
 }
 
+// TestPeerThatFailsAgainAndAgainIsPassedOverLonger: one that answers in between starts anew.
+func TestPeerThatFailsAgainAndAgainIsPassedOverLonger(t *testing.T) {
+	ln, ow := linkTo(nil)
+	now := time.Unix(1_700_000_000, 0)
+	ow.fl.opts.Now = func() time.Time { return now }
+	fail := func() time.Duration {
+		ln.passOver("hand over", errRestarted)
+		return ln.bad.Sub(now)
+	}
+	for _, want := range []time.Duration{relayBad, 2 * relayBad, 4 * relayBad, relayBadMost, relayBadMost} {
+		if got := fail(); got != want {
+			t.Errorf("passed over for %v, want %v", got, want)
+		}
+		now = ln.bad
+	}
+	ln.well()
+	if got := fail(); got != relayBad {
+		t.Errorf("passed over for %v after it answered", got)
+	}
+}
+
 // TestResultThatIsLostCountsAsSilence: the peer is well, but never tells what became of an order.
 func TestResultThatIsLostCountsAsSilence(t *testing.T) {
 	ln, ow := linkTo(func(rq *peer.RelayRequest) (*peer.RelayResponse, error) {
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -30,8 +30,10 @@
 	relaySpread = 1500 * time.Microsecond
 	// relayTimeout bounds a call that hands over orders, beside the wait of one that collects results.
 	relayTimeout = 900 * time.Millisecond
-	// relayBad is how long a peer that failed is passed over.
-	relayBad = 2500 * time.Millisecond
+	// relayBad is how long a peer that failed is passed over, twice as long after each further failure in a row, up to relayBadMost: a
+	// peer that is cut off from this instance alone stays a member.
+	relayBad     = 2500 * time.Millisecond
+	relayBadMost = 20 * time.Second
 	// relayLate is when an order without a result counts as silent: it may have waited in the peer's lane, and then for its worker.
 	relayLate = relayPatience + 1200*time.Millisecond
 )
@@ -173,7 +175,9 @@
 	sending    bool
 	collecting bool
 	bad        time.Time
-	pause      time.Duration
+	// fails counts failures in a row.
+	fails int
+	pause time.Duration
 }
 
 // errand is an order that a peer has been given.
@@ -256,6 +260,7 @@
 		case rp.Incarnation != ln.node.Incarnation:
 			ln.lose("collect", errRestarted)
 		default:
+			ln.well()
 			ln.take(rp.Results)
 			ln.expire()
 		}
@@ -263,6 +268,13 @@
 	}
 }
 
+// well notes that the peer answers.
+func (ln *relayLink) well() {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.fails = 0
+}
+
 // errRestarted says that a peer has been started anew and knows nothing of what it was given.
 var errRestarted = errors.New("the peer was started anew")
 
@@ -364,7 +376,10 @@
 	}
 	ln.mu.Lock()
 	first := !fl.opts.Now().Before(ln.bad)
-	ln.bad = fl.opts.Now().Add(relayBad)
+	if first {
+		ln.bad = fl.opts.Now().Add(min(relayBadMost, relayBad<<min(ln.fails, 4)))
+		ln.fails++
+	}
 	ln.mu.Unlock()
 	if first {
 		fl.opts.Log.Emit(event.RelayLost, zap.String("call", call), zap.String("cell", ln.rs.ow.name), zap.String("peer", ln.node.Name), zap.Error(err))
