Orders given to peers have numbers that a process uses once

An owner gave looks to a peer by the row of its earlier run; the new run carried them out, and the owner dropped that link for a new one, whose numbers began at 1 again. Change: one counter for all links of a process; the sender's name has the process's incarnation already. TestResultForAnEarlierLinkIsNotTakenForAnother fails with numbers by link.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,6 +81,8 @@
 	stopping atomic.Bool
 	duty     *duty
 	relay    *relay
+	// errands numbers the orders that peers are given.
+	errands atomic.Uint64
 	// background ends when the process does.
 	background context.Context
 	fig        figures
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -137,10 +137,7 @@
 			for range 3 {
 				ln.send(t.Context(), cell.Stop{Worker: "w", Task: relayedTask, Attempt: 1})
 			}
-			ln.mu.Lock()
-			given := int(ln.newest)
-			ln.mu.Unlock()
-			waitEvents(t, ow, given)
+			waitEvents(t, ow, int(ow.fl.errands.Load()))
 			if ln.send(t.Context(), cell.Stop{Worker: "w"}) {
 				t.Error("an order is given to a peer that has just failed")
 			}
@@ -148,6 +145,53 @@
 	}
 }
 
+// TestResultForAnEarlierLinkIsNotTakenForAnother: after all instances lost power an owner gave looks to a peer whose row was still that of
+// its earlier run, then found out and began anew; the results of the first looks were taken for those at other workers.
+func TestResultForAnEarlierLinkIsNotTakenForAnother(t *testing.T) {
+	var mu sync.Mutex
+	var given []uint64
+	answers := true
+	call := func(rq *peer.RelayRequest) (*peer.RelayResponse, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		rp := &peer.RelayResponse{Incarnation: "i3"}
+		for _, ro := range rq.Orders {
+			given = append(given, ro.Id)
+		}
+		if rq.WaitMillis > 0 && answers {
+			// What the peer did for the link that knew it by its earlier run.
+			answers = false
+			for _, id := range given {
+				rp.Results = append(rp.Results, &peer.RelayResult{Id: id, Outcome: int32(cell.Done)})
+			}
+		}
+		return rp, nil
+	}
+	earlier, ow := linkTo(call)
+	for range 3 {
+		earlier.send(t.Context(), cell.Look{Worker: "one"})
+	}
+	waitEvents(t, ow, int(ow.fl.errands.Load()))
+	before := int(ow.fl.errands.Load())
+	later := &relayLink{rs: ow.relays, node: node{Name: "two", Incarnation: "i3"}, peer: relayPeer{call: func(rq *peer.RelayRequest) (*peer.RelayResponse, error) {
+		rp, err := call(rq)
+		mu.Lock()
+		defer mu.Unlock()
+		if rq.WaitMillis > 0 {
+			rp.Results = append(rp.Results, &peer.RelayResult{Id: given[0], Outcome: int32(cell.Done)})
+		}
+		return rp, err
+	}}, open: map[uint64]errand{}}
+	later.setPause(time.Millisecond)
+	later.send(t.Context(), cell.Look{Worker: "other"})
+	time.Sleep(50 * time.Millisecond)
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if got := len(ow.events); got != before {
+		t.Errorf("%d results of an earlier link were taken for another worker's", got-before)
+	}
+}
+
 // TestPeerThatFailsAgainAndAgainIsPassedOverLonger: one that answers in between starts anew.
 func TestPeerThatFailsAgainAndAgainIsPassedOverLonger(t *testing.T) {
 	ln, ow := linkTo(nil)
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -171,7 +171,6 @@
 	mu         sync.Mutex // guards what follows
 	queue      []*peer.RelayOrder
 	open       map[uint64]errand
-	newest     uint64
 	sending    bool
 	collecting bool
 	bad        time.Time
@@ -206,12 +205,13 @@
 	if now.Before(ln.bad) {
 		return false
 	}
-	ln.newest++
-	ro := relayOrder(ln.newest, od)
+	// Numbers are never used twice by a process: results that were meant for an earlier link to the peer may still come.
+	id := ln.rs.ow.fl.errands.Add(1)
+	ro := relayOrder(id, od)
 	if ro == nil {
 		return false
 	}
-	ln.open[ln.newest] = errand{od, now}
+	ln.open[id] = errand{od, now}
 	ln.queue = append(ln.queue, ro)
 	if !ln.sending {
 		ln.sending = true
