--- a/cell/burst_test.go
+++ b/cell/burst_test.go
@@ -30,7 +30,6 @@
 	goal                 map[job.ID]time.Duration
 	specs                []*job.Spec
 	version              int64
-	wakeAt               time.Time
 }
 
 // burstRun is an attempt on a worker.
@@ -236,8 +235,7 @@
 		order++
 		heap.Push(&ag, event{when, order, do})
 	}
-	var place func()
-	place = func() {
+	place := func() {
 		most := 0
 		for _, sz := range free {
 			most = max(most, sz.CPUMillis)
