A worker whose registration is gone leaves, unless the store was away

A worker without a registration got new tasks for 4 s more, and its lasting tasks stayed until it ended. Entries that lapsed while the store was away come back within two seconds of its return; one that is missing after that is gone. Change: without a registration a worker gets nothing new and its lasting tasks are moved within their budgets; for 2.5 s after the store was away it may come back, and gets tasks if it answers.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -136,6 +136,8 @@
 	epoch job.Epoch
 	// confirmed is when the ownership was last known to hold.
 	confirmed time.Time
+	// resumed is when the store was last heard of again after a while without.
+	resumed time.Time
 	// Lost is set once another owner has been met; nothing more is ordered.
 	lost    bool
 	queues  map[job.QueueID]job.Queue
@@ -180,7 +182,7 @@
 // TakeOver takes what an earlier owner left: the workers that it used. The ownership is confirmed as of when the store was asked for it.
 // After a release nothing but the last leases can be outstanding; an owner that was overtaken may have renewed them for a while.
 func (cr *Core) TakeOver(now, asked time.Time, used []Ref, released bool) {
-	cr.confirmed = asked
+	cr.confirmed, cr.resumed = asked, now
 	lease := cr.slow(cr.opts.Lease) + horizonMargin
 	for _, rf := range used {
 		wk := cr.worker(rf.ID)
@@ -205,11 +207,26 @@
 
 // Confirmed tells that the ownership held at a time.
 func (cr *Core) Confirmed(at time.Time) {
+	if at.Sub(cr.confirmed) > awayAfter {
+		cr.resumed = at
+	}
 	if at.After(cr.confirmed) {
 		cr.confirmed = at
 	}
 }
 
+const (
+	// awayAfter is from which gap between two confirmations on the store counts as having been away: a feed call waits up to a second.
+	awayAfter = 2500 * time.Millisecond
+	// relistFor is how long after that registrations which lapsed meanwhile may still come back; the platform's pages say two seconds.
+	relistFor = 2500 * time.Millisecond
+)
+
+// leaves reports whether a worker is about to end: it says so, or its registration is gone though the store was there.
+func (cr *Core) leaves(now time.Time, wk *worker) bool {
+	return wk.info.Draining || !wk.listed && !wk.unlistedAt.IsZero() && now.Sub(cr.resumed) > relistFor
+}
+
 // mayRenew reports whether the ownership was confirmed recently enough to give leases.
 func (cr *Core) mayRenew(now time.Time) bool {
 	return !cr.lost && now.Sub(cr.confirmed) < cr.opts.RenewFor
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -420,6 +420,45 @@
 	}
 }
 
+// TestWorkerWhoseRegistrationIsGoneLeaves: some workers never say that they drain. Registrations that lapsed while the store was away
+// come back within two seconds of its return.
+func TestWorkerWhoseRegistrationIsGoneLeaves(t *testing.T) {
+	for name, away := range map[string]bool{"the store was there": false, "the store was away": true} {
+		t.Run(name, func(t *testing.T) {
+			bd := newBed(t, 1)
+			lasting := tasks(1)
+			lasting.LongRunning = true
+			bd.add("l", bedEpoch, lasting)
+			st := bd.wantStarts(bd.plan(), 1)[0]
+			bd.ordered(st, Done)
+			for range 20 {
+				bd.pass(200 * time.Millisecond)
+				bd.looked(bd.nextLook("w0"), []Running{{Task: st.Task, Attempt: 1, Progress: 100}}, nil)
+			}
+			if away {
+				bd.core.confirmed = bd.now.Add(-awayAfter - time.Second)
+			}
+			bd.core.Unregister(bd.now, "w0")
+			bd.add("j", bedEpoch, tasks(1))
+			stops, began := 0, 0
+			for _, od := range bd.plan() {
+				switch od.(type) {
+				case Stop:
+					stops++
+				case Start:
+					began++
+				}
+			}
+			if away && (began != 1 || stops != 0) {
+				t.Errorf("%d starts and %d stops while its registration may come back", began, stops)
+			}
+			if !away && (began != 0 || stops != 1) {
+				t.Errorf("%d starts and %d stops on a worker that leaves", began, stops)
+			}
+		})
+	}
+}
+
 // TestRoomInUseIsTheSumOfWhatIsPlaced: it is kept along with each attempt.
 func TestRoomInUseIsTheSumOfWhatIsPlaced(t *testing.T) {
 	bd := newBed(t, 2)
--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -14,7 +14,7 @@
 func (cr *Core) vacate(now time.Time) {
 	for _, wk := range cr.list {
 		wanted := cr.cordons[wk.info.ID]
-		if !wanted && !wk.info.Draining {
+		if !wanted && !cr.leaves(now, wk) {
 			continue
 		}
 		for _, pl := range wk.placed {
