--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -145,6 +145,27 @@
 	}
 }
 
+// TestOrdersThatCouldNotBeHandedOverAreNotSent: where no connection to the peer was to be had; otherwise they may have been carried out.
+func TestOrdersThatCouldNotBeHandedOverAreNotSent(t *testing.T) {
+	for want, err := range map[cell.Outcome]error{
+		cell.Unsent: &net.OpError{Op: "dial", Err: errors.New("refused")},
+		cell.Silent: errors.New("no answer"),
+	} {
+		ln, ow := linkTo(func(rq *peer.RelayRequest) (*peer.RelayResponse, error) {
+			if len(rq.Orders) > 0 {
+				return nil, err
+			}
+			return &peer.RelayResponse{Incarnation: "i2"}, nil
+		})
+		ln.setPause(time.Millisecond)
+		ln.send(t.Context(), cell.Stop{Worker: "w", Task: relayedTask, Attempt: 1})
+		waitEvents(t, ow, 1)
+		if got := ow.fl.fig.outcomes[want].Count(); got != 1 {
+			t.Errorf("%v: %d orders are %s", err, got, want)
+		}
+	}
+}
+
 // TestResultForAnEarlierLinkIsNotTakenForAnother: after all instances lost power an owner gave looks to a peer whose row was still that of
 // its earlier run, then found out and began anew; the results of the first looks were taken for those at other workers.
 func TestResultForAnEarlierLinkIsNotTakenForAnother(t *testing.T) {
