Jobs that wait for room do not wake a cell without lower priorities

Cause: each step without room asked to be looked at again 300 ms after it began to wait, so that it might be given room by preemption, also where nothing of a lower priority runs; with a thousand open jobs the cell planned all the time. Change: the time is looked at only where a lower priority runs. TestWaitingForRoomWakesNobody fails on the code before.

--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -35,12 +35,15 @@
 // preempt stops tasks of lower priorities so that waiting tasks of a step find room. Tasks that last and members of gangs stay: the
 // first have budgets, of the others all would have to start again.
 func (cr *Core) preempt(rd *round, st *step, waiting int) {
+	priority := cr.queues[st.job.spec.Queue].Priority
+	if rd.preempted == preemptSteps || cr.lowest(rd) <= priority || !st.spec.LongRunning && cr.laxity(rd.now, st.job) < 0 {
+		return
+	}
 	if rd.now.Sub(st.since) < preemptAfter {
 		cr.wakeAt(st.since.Add(preemptAfter))
 		return
 	}
-	priority := cr.queues[st.job.spec.Queue].Priority
-	if rd.preempted == preemptSteps || cr.lowest(rd) <= priority || st.yields() || !st.spec.LongRunning && cr.laxity(rd.now, st.job) < 0 {
+	if st.yields() {
 		return
 	}
 	rd.preempted++
--- a/cell/preempt_test.go
+++ b/cell/preempt_test.go
@@ -86,3 +86,20 @@
 		t.Errorf("a task at 90 percent that saves its work counts %v, one at 30 percent that does not %v", kept, lost)
 	}
 }
+
+// TestWaitingForRoomWakesNobody: where nothing of a lower priority runs there is nothing to come back for; with a thousand jobs that wait
+// the cell would plan all the time.
+func TestWaitingForRoomWakesNobody(t *testing.T) {
+	bd, _ := preemptBed(t, tasks(4), 10, 10, 10, 10)
+	bd.core.Configure([]job.Queue{{ID: "first", Pool: bedPool, Priority: 3, MaxAttempts: 2, Stretch: 3, Slack: 10 * time.Second}})
+	// The look is answered, so that only what waits could wake the cell.
+	bd.pass(bd.core.opts.LookGap)
+	bd.plan()
+	bd.core.Add(bd.now, Stored{Spec: &job.Spec{ID: "wait", Queue: "first", Pool: bedPool, Steps: []job.Step{tasks(1)}, Epoch: bedEpoch}})
+	bd.plan()
+	bd.pass(preemptAfter - 100*time.Millisecond)
+	bd.plan()
+	if early := bd.core.Wake().Sub(bd.now); early < idleWake {
+		t.Errorf("the cell is to plan again after %v, %v is the longest", early, idleWake)
+	}
+}
