--- /dev/null
+++ b/cell/bed_test.go
@@ -0,0 +1,163 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// bed is a core with workers that do what the test says.
+type bed struct {
+	t    *testing.T
+	now  time.Time
+	core *Core
+	// ends counts each worker's ends, open holds the looks that have no answer yet.
+	ends map[WorkerID]int64
+	open map[WorkerID]Look
+	// saved makes every save that is ordered kept at once.
+	saved bool
+}
+
+const (
+	bedEpoch = job.Epoch(100)
+	bedPool  = job.PoolID("pool")
+)
+
+func newBed(t *testing.T, workers int) *bed {
+	t.Helper()
+	bd := &bed{t: t, now: time.Unix(1_700_000_000, 0), ends: map[WorkerID]int64{}, open: map[WorkerID]Look{}}
+	bd.core = New(bedPool, bedEpoch, Options{StopTime: 400 * time.Millisecond, Lease: 5 * time.Second})
+	bd.core.TakeOver(bd.now, bd.now, nil, true)
+	bd.core.Configure([]job.Queue{{ID: "q", Pool: bedPool, MaxAttempts: 2, Stretch: 1.5, Slack: time.Second}})
+	for at := range workers {
+		bd.register(workerName(at))
+	}
+	bd.lookAll()
+	return bd
+}
+
+func workerName(at int) WorkerID { return WorkerID([]string{"w0", "w1", "w2", "w3"}[at]) }
+
+func (bd *bed) register(id WorkerID) {
+	bd.core.Register(bd.now, Worker{ID: id, Pool: bedPool, Address: string(id), Rack: "r" + string(id), Labels: []string{"a", "r" + string(id)}, Room: job.Size{CPUMillis: 4000, MemoryMB: 4000}})
+	bd.core.Enlisted([]Ref{{ID: id, Address: string(id)}})
+}
+
+// clock is every worker's.
+func (bd *bed) clock() int64 { return bd.now.UnixMilli() - 1_699_999_000_000 }
+
+func (bd *bed) pass(span time.Duration) { bd.now = bd.now.Add(span) }
+
+// plan returns the orders that are due.
+func (bd *bed) plan() []Order {
+	bd.core.Confirmed(bd.now)
+	orders := bd.core.Plan(bd.now)
+	for id, lk := range looksOf(orders) {
+		bd.open[id] = lk
+	}
+	if bd.saved {
+		bd.keep(orders)
+	}
+	return orders
+}
+
+// lookAll answers the looks that are due with nothing.
+func (bd *bed) lookAll() {
+	for _, od := range bd.plan() {
+		if lk, ok := od.(Look); ok {
+			bd.looked(lk, nil, nil)
+		}
+	}
+}
+
+// looked answers a look.
+func (bd *bed) looked(lk Look, running []Running, ended []End) {
+	delete(bd.open, lk.Worker)
+	bd.core.Looked(bd.now, Looked{Look: lk, Outcome: Done, Sent: bd.now, Received: bd.now, Clock: bd.clock(), Running: running, Ended: ended})
+}
+
+func (bd *bed) add(id job.ID, epoch job.Epoch, steps ...job.Step) {
+	bd.core.Add(bd.now, Stored{Spec: &job.Spec{ID: id, Queue: "q", Pool: bedPool, Steps: steps, Epoch: epoch, AcceptedAt: bd.now}})
+}
+
+// starts are the starts among some orders.
+func starts(orders []Order) []Start {
+	var list []Start
+	for _, od := range orders {
+		if st, ok := od.(Start); ok {
+			list = append(list, st)
+		}
+	}
+	return list
+}
+
+func looksOf(orders []Order) map[WorkerID]Look {
+	list := map[WorkerID]Look{}
+	for _, od := range orders {
+		if lk, ok := od.(Look); ok {
+			list[lk.Worker] = lk
+		}
+	}
+	return list
+}
+
+func (bd *bed) wantStarts(orders []Order, want int) []Start {
+	bd.t.Helper()
+	got := starts(orders)
+	if len(got) != want {
+		bd.t.Fatalf("%d starts, want %d: %+v", len(got), want, got)
+	}
+	return got
+}
+
+func (bd *bed) ordered(od Order, oc Outcome) {
+	bd.core.Ordered(bd.now, Ordered{Order: od, Outcome: oc, Sent: bd.now, Received: bd.now, Clock: bd.clock()})
+}
+
+// end makes an end with the worker's next number.
+func (bd *bed) end(st Start, how How) End {
+	bd.ends[st.Worker]++
+	return End{Number: bd.ends[st.Worker], Task: st.Task, Attempt: st.Attempt, How: how}
+}
+
+// nextLook waits for a look at a worker.
+func (bd *bed) nextLook(id WorkerID) Look {
+	bd.t.Helper()
+	for range 50 {
+		bd.plan()
+		if lk, ok := bd.open[id]; ok {
+			return lk
+		}
+		bd.pass(50 * time.Millisecond)
+	}
+	bd.t.Fatalf("%s is not looked at", id)
+	return Look{}
+}
+
+func tasks(count int) job.Step {
+	return job.Step{Count: count, Size: job.Size{CPUMillis: 1000, MemoryMB: 100}}
+}
+
+// keep tells the core that the save among some orders is kept.
+func (bd *bed) keep(orders []Order) {
+	for _, od := range orders {
+		if _, ok := od.(Save); ok {
+			bd.core.Saved(bd.now, 9)
+		}
+	}
+}
+
+// silence leaves the open look at a worker without an answer.
+func (bd *bed) silence(id WorkerID) {
+	bd.t.Helper()
+	lk, open := bd.open[id]
+	if !open {
+		return
+	}
+	if wk := bd.core.workers[id]; lk.Until != 0 && wk.fails > 0 {
+		bd.t.Fatal("a silent worker's lease is renewed")
+	}
+	delete(bd.open, id)
+	bd.core.Looked(bd.now, Looked{Look: lk, Outcome: Silent, Sent: bd.now, Received: bd.now})
+}
