Orders that are given up cannot arrive; the machines' duty is held under a lease

Ruled out: a wrong order of tokens (epochs rise), a second writer of the row.

Change: package tcp closes by reset, so that what is not delivered yet is thrown away, writes nothing after a call's deadline, and notices silent connections: one call that is given up closes the unused ones that are as silent; unused ones are probed (3 s), unacknowledged bytes end a connection (3 s). The duty is held under a lease: its row is renewed each 0.5 s under the condition of its version, orders are under way for at most 1.6 s after the renewal was sent, and the row is taken only in a version that stood still for 2 s; so a claim that is decided or delivered late fails. A new holder no longer stands still for 3.2 s: only machines whose state, worker or registration changed of late rest, since an order that was carried out shows there. Writes of the duty carry the condition that their comment promised; a late word that a wave has begun cannot undo the word that it is over. A watch counts an answer as read only after its rows are known, so that a living owner is not taken for dead in between.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -80,13 +80,14 @@
 // consider claims a cell if it has no living owner and it is this instance's turn.
 func (fl *Fleet) consider(ctx context.Context, now time.Time, name string, live map[string]node) {
 	or := fl.members.owner(name)
-	if or.Holder == fl.opts.Name && or.Incarnation == fl.opts.Incarnation && !fl.works(name) {
-		// An own claim whose answer was lost, or came after it was given up, was carried out all the same.
-		fl.claim(ctx, name, or)
+	if or.Holder == fl.opts.Name && or.Incarnation == fl.opts.Incarnation {
+		if !fl.works(name) {
+			// An own claim whose answer was lost, or came after it was given up, was carried out all the same.
+			fl.claim(ctx, name, or)
+		}
 		return
 	}
-	nd, known := live[or.Holder]
-	if or.Holder != "" && known && nd.Incarnation == or.Incarnation && !nd.Leaving {
+	if fl.held(name, or, live) {
 		fl.members.mu.Lock()
 		delete(fl.members.vacant, name)
 		fl.members.mu.Unlock()
@@ -105,6 +106,19 @@
 	fl.claim(ctx, name, or)
 }
 
+// held reports whether a cell has an owner that lives. The holder of the machines' duty is told by its lease alone.
+func (fl *Fleet) held(name string, or ownerRow, live map[string]node) bool {
+	if or.Holder == "" {
+		return false
+	}
+	if name == machinesCell {
+		since, until := fl.control.healthy()
+		return until.Sub(later(fl.members.changed(name), since)) < dutyDead
+	}
+	nd, known := live[or.Holder]
+	return known && nd.Incarnation == or.Incarnation && !nd.Leaving
+}
+
 // works reports whether this instance works on a cell, or is about to.
 func (fl *Fleet) works(name string) bool {
 	if name == machinesCell {
@@ -178,13 +192,13 @@
 	next.version = version
 	fl.members.mu.Lock()
 	if fl.members.owners[name].version < version {
-		fl.members.owners[name] = next
+		fl.members.owners[name], fl.members.ownedAt[name] = next, fl.opts.Now()
 	}
 	fl.members.mu.Unlock()
 	fl.opts.Log.Emit(event.CellClaimed, zap.String("cell", name), zap.Int64("epoch", version), zap.String("before", old.Holder), zap.Int("workers", len(next.Workers)))
 	fl.fig.claims.Inc(1)
 	if name == machinesCell {
-		fl.startDuty(ctx, next)
+		fl.startDuty(ctx, next, old)
 		return
 	}
 	fl.startOwner(ctx, name, next, old, asked)
@@ -204,7 +218,7 @@
 // usedWorkers are those that earlier owners used and those that are registered.
 func (fl *Fleet) usedWorkers(name string, before []cell.Ref) []cell.Ref {
 	list := slices.Clone(before)
-	for _, wk := range fl.workersOf(job.PoolID(name)) {
+	for _, wk := range fl.roster.of(job.PoolID(name)) {
 		if !slices.ContainsFunc(list, func(rf cell.Ref) bool { return rf.ID == wk.ID }) {
 			list = append(list, cell.Ref{ID: wk.ID, Address: wk.Address})
 		}
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -22,12 +22,10 @@
 	dutyEvery = 200 * time.Millisecond
 	// listEvery is how often the list of machines is read while a wave is under way.
 	listEvery = 700 * time.Millisecond
-	// dutyQuiet is how long a new holder gives no orders for machines that another one dealt with.
+	// dutyQuiet is how long a new holder gives no orders for machines that another one may just have dealt with.
 	dutyQuiet = 3200 * time.Millisecond
 	// machineTimeout bounds one call about machines.
 	machineTimeout = 1500 * time.Millisecond
-	// shortWait is how long short tasks may keep a machine that is wanted.
-	shortWait = 5 * time.Second
 	// tokenShift is the room for a counter below the epoch in tokens for machines.
 	tokenShift = 14
 )
@@ -39,17 +37,6 @@
 	Move(ctx context.Context, id cell.MachineID, to job.PoolID, holder string, token cell.Token) machine.Outcome
 }
 
-// drainRow is the row of a machine that is wanted.
-type drainRow struct {
-	Machine cell.MachineID `json:"machine"`
-	Worker  cell.WorkerID  `json:"worker"`
-	Pool    job.PoolID     `json:"pool"`
-	Wave    int            `json:"wave"`
-	Clear   bool           `json:"clear,omitempty"`
-	version int64
-	seen    time.Time
-}
-
 // waveRecord is the row of a wave's course.
 type waveRecord struct {
 	Done     []cell.MachineID `json:"done,omitempty"`
@@ -64,10 +51,15 @@
 	records map[int]waveRecord
 	keeper  *machine.Keeper
 	sizer   *machine.Sizer
-	began   time.Time
-	cancel  context.CancelFunc
-	row     ownerRow
-	token   cell.Token
+	// began is when this instance claimed the duty, fresh whether nobody held it before.
+	began  time.Time
+	fresh  bool
+	cancel context.CancelFunc
+	// tasks are the goroutines of the present tenure.
+	tasks *sync.WaitGroup
+	row   ownerRow
+	lease dutyLease
+	token cell.Token
 }
 
 func newDuty(fl *Fleet) *duty {
@@ -98,8 +90,8 @@
 	du.records[number] = rc
 }
 
-// startDuty begins to look after machines.
-func (fl *Fleet) startDuty(ctx context.Context, row ownerRow) {
+// startDuty begins to look after machines. before is the row that this instance's claim replaced.
+func (fl *Fleet) startDuty(ctx context.Context, row, before ownerRow) {
 	ctx, cancel := context.WithCancel(ctx)
 	du := fl.duty
 	du.mu.Lock()
@@ -107,11 +99,15 @@
 		du.cancel()
 	}
 	du.keeper, du.cancel, du.row = machine.NewKeeper(fl.opts.Now(), dutyQuiet), cancel, row
-	du.sizer, du.began = machine.NewSizer(fl.opts.Sizes), fl.opts.Now()
+	du.sizer, du.began, du.fresh = machine.NewSizer(fl.opts.Sizes), fl.opts.Now(), before.version == 0
 	du.token = cell.Token(row.epoch()) << tokenShift
+	du.lease = dutyLease{version: row.version}
+	tasks := &sync.WaitGroup{}
+	du.tasks = tasks
 	du.mu.Unlock()
-	go du.run(ctx)
-	go du.size(ctx)
+	tasks.Go(func() { du.renew(ctx) })
+	tasks.Go(func() { du.run(ctx) })
+	tasks.Go(func() { du.size(ctx) })
 }
 
 // run plans until the context ends.
@@ -124,7 +120,7 @@
 		du.mu.Lock()
 		busy := du.keeper.Busy()
 		du.mu.Unlock()
-		if !busy || !du.confirmed(now) {
+		if !busy || !du.leased(now) {
 			continue
 		}
 		if now.Sub(listed) >= listEvery {
@@ -140,12 +136,6 @@
 	}
 }
 
-// confirmed reports whether the duty was lately seen to be this instance's.
-func (du *duty) confirmed(now time.Time) bool {
-	_, until := du.fl.control.healthy()
-	return now.Sub(until) < deadAfter && du.fl.members.owner(machinesCell).version == du.row.version
-}
-
 // feed hands the keeper what is known of waves and drains.
 func (du *duty) feed(now time.Time) {
 	du.fl.members.mu.RLock()
@@ -170,8 +160,12 @@
 		du.fl.opts.Log.Emit(event.MachinesUnlisted, zap.Error(err))
 		return
 	}
+	now := du.fl.opts.Now()
 	du.mu.Lock()
 	defer du.mu.Unlock()
+	for at := range list {
+		list[at].Resting = du.resting(now, list[at])
+	}
 	du.keeper.List(asked, list)
 }
 
@@ -182,7 +176,7 @@
 		du.fl.opts.Log.Emit(event.MachineWanted, zap.String("machine", string(order.Machine)), zap.String("worker", string(order.Worker)), zap.Int("wave", order.Wave))
 		du.write(ctx, Row{Table: tableControl, Part: machinesCell, Key: drainPrefix + string(order.Machine)}, drainRow{Machine: order.Machine, Worker: order.Worker, Pool: order.Pool, Wave: order.Wave})
 	case machine.Service:
-		go du.service(ctx, order)
+		du.begin(func() { du.service(ctx, order) })
 	case machine.Release:
 		du.commit(ctx, Tx{Remove: []Place{{tableControl, machinesCell, drainPrefix + string(order.Machine)}}})
 	case machine.Record:
@@ -193,9 +187,9 @@
 }
 
 func (du *duty) service(ctx context.Context, sv machine.Service) {
-	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
-	defer cancel()
-	oc := du.fl.opts.Machines.Service(callCtx, sv.Machine, sv.Wave, du.fl.opts.Name, du.token)
+	oc := du.order(ctx, func(ctx context.Context) machine.Outcome {
+		return du.fl.opts.Machines.Service(ctx, sv.Machine, sv.Wave, du.fl.opts.Name, du.token)
+	})
 	du.fl.opts.Log.Emit(event.MachineServiced, zap.String("machine", string(sv.Machine)), zap.Int("wave", sv.Wave), zap.Int("outcome", int(oc)), zap.Int64("token", int64(du.token)))
 	du.mu.Lock()
 	defer du.mu.Unlock()
@@ -210,12 +204,30 @@
 		return
 	}
 	du.fl.opts.Log.Emit(event.WaveReported, zap.Int("wave", rp.Wave), zap.Bool("completed", rp.Completed))
-	go func() {
-		du.commitUntil(ctx, Tx{Write: []Row{rw}})
+	tx := Tx{Write: []Row{rw}}
+	if !rp.Completed {
+		// Under the condition that nothing is told yet: one that is carried out late must not undo the word that the wave is over.
+		tx.Expect = []Expect{{rw.Place(), 0}}
+	}
+	du.begin(func() {
+		du.tellUntil(ctx, tx)
 		if rp.Completed {
 			du.record(ctx, rp.Wave, waveRecord{Finished: true})
 		}
-	}()
+	})
+}
+
+// tellUntil tries a write for the operator until it is done, somebody else has written, or the duty ends.
+func (du *duty) tellUntil(ctx context.Context, tx Tx) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		_, err := du.fl.link.Commit(callCtx, tx)
+		cancel()
+		if err == nil || conflictOf(err) != nil {
+			return
+		}
+		sleep(ctx, writeRetry)
+	}
 }
 
 func (du *duty) record(ctx context.Context, wave int, rc waveRecord) {
@@ -238,12 +250,16 @@
 // commitUntil tries a write under the condition that the duty is still this instance's.
 func (du *duty) commitUntil(ctx context.Context, tx Tx) {
 	for ctx.Err() == nil {
+		tx.Expect = []Expect{{dutyPlace, du.leaseVersion()}}
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 		_, err := du.fl.link.Commit(callCtx, tx)
 		cancel()
 		if err == nil {
 			return
 		}
+		if cf := conflictOf(err); cf != nil && !du.stillMine(cf) {
+			return
+		}
 		sleep(ctx, writeRetry)
 	}
 }
@@ -270,82 +286,22 @@
 	return du.cancel != nil
 }
 
-// handOver leaves the duty without a holder.
+// handOver leaves the duty without a holder, once none of its orders is under way any more.
 func (du *duty) handOver(ctx context.Context) {
 	du.mu.Lock()
-	held := du.cancel != nil
-	if held {
-		du.cancel()
-		du.cancel = nil
-	}
-	version := du.row.version
-	du.mu.Unlock()
-	if held {
-		du.fl.vacate(ctx, machinesCell, version, nil, true)
-	}
-}
-
-// takeDrain takes the row of a machine that is wanted.
-func (mb *members) takeDrain(rw Row) {
-	id := cell.MachineID(strings.TrimPrefix(rw.Key, drainPrefix))
-	mb.mu.Lock()
-	defer mb.mu.Unlock()
-	var dr drainRow
-	if rw.Deleted || json.Unmarshal(rw.Value, &dr) != nil {
-		delete(mb.drains, id)
+	if du.cancel == nil {
+		du.mu.Unlock()
 		return
 	}
-	dr.version, dr.seen = rw.Version, mb.now()
-	if old, ok := mb.drains[id]; ok && old.Worker == dr.Worker {
-		dr.seen = old.seen
-	}
-	mb.drains[id] = dr
-}
-
-// cordon tells the cells owned here which workers are to be emptied, and tells the store which of them are.
-func (fl *Fleet) cordon() {
-	fl.members.mu.RLock()
-	drains := maps.Clone(fl.members.drains)
-	fl.members.mu.RUnlock()
-	ids := map[cell.WorkerID]bool{}
-	for _, dr := range drains {
-		ids[dr.Worker] = true
-	}
-	for _, ow := range fl.owned() {
-		ow.post(func(cr *cell.Core, _ time.Time) { cr.Cordon(ids) })
-	}
-}
-
-// tellClear writes which wanted workers are empty.
-func (fl *Fleet) tellClear(ctx context.Context) {
-	fl.members.mu.RLock()
-	drains := maps.Clone(fl.members.drains)
-	fl.members.mu.RUnlock()
-	now := fl.opts.Now()
-	for id, dr := range drains {
-		ow := fl.ownerOf(cellName(dr.Pool))
-		if dr.Clear || ow == nil || !ow.isClear(dr.Worker, now.Sub(dr.seen)) {
-			continue
-		}
-		dr.Clear = true
-		raw, err := json.Marshal(dr)
-		if err != nil {
-			continue
-		}
-		place := Place{tableControl, machinesCell, drainPrefix + string(id)}
-		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		// A condition that does not hold, or a call that fails, is looked at again in the next round.
-		version, err := fl.link.Commit(callCtx, Tx{Expect: []Expect{{place, dr.version}}, Write: []Row{{Table: place.Table, Part: place.Part, Key: place.Key, Value: raw}}})
-		cancel()
-		if err == nil {
-			fl.members.takeDrain(Row{Table: place.Table, Part: place.Part, Key: place.Key, Value: raw, Version: version})
+	du.cancel()
+	du.cancel = nil
+	tasks := du.tasks
+	du.mu.Unlock()
+	tasks.Wait()
+	for ctx.Err() == nil {
+		cf := conflictOf(du.fl.vacate(ctx, machinesCell, du.leaseVersion(), nil, true))
+		if cf == nil || !du.stillMine(cf) {
+			return
 		}
 	}
 }
-
-// isClear reports whether nothing runs on a worker that has been wanted for some time.
-func (ow *owner) isClear(id cell.WorkerID, wanted time.Duration) bool {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	return ow.core.Cordoned(id) && (ow.core.Clear(id) || wanted > shortWait && ow.core.OnlyShort(id))
-}
--- /dev/null
+++ b/fleet/dutylease.go
@@ -0,0 +1,158 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/aspenseam/aspenseam/event"
+	"github.com/aspenseam/aspenseam/machine"
+	"go.uber.org/zap"
+)
+
+// Times of the lease under which orders to machines are given. Where the platform does not check tokens, nothing but this lease keeps two
+// holders apart: the row of the duty is renewed under the condition that nobody else has written it, and taken from a holder only in the
+// version in which it has stood still for dutyDead.
+const (
+	// dutyRenew is how often the holder renews its lease, renewAgain the pause after a try that failed.
+	dutyRenew  = 500 * time.Millisecond
+	renewAgain = 200 * time.Millisecond
+	// dutyTerm is how long orders may be under way after a renewal was sent.
+	dutyTerm = 1600 * time.Millisecond
+	// dutyDead is how long the row must have stood still before another instance takes the duty. It exceeds dutyTerm by what clocks may
+	// differ in rate and an order needs on its way.
+	dutyDead = 2 * time.Second
+)
+
+// dutyPlace is the row of the machines' duty.
+var dutyPlace = Place{tableControl, machinesCell, ownerKey}
+
+// dutyLease is the right to give orders to machines.
+type dutyLease struct {
+	// version is that of the duty's row.
+	version int64
+	// until is when the right ends.
+	until time.Time
+	// tried is when the first try at the present renewal was sent; zero if none is under way.
+	tried time.Time
+}
+
+// renew keeps the lease until the context ends or another holder is met.
+func (du *duty) renew(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := renewAgain
+		if du.renewOnce(ctx) {
+			pause = dutyRenew
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// renewOnce makes one try and reports whether the lease was renewed.
+func (du *duty) renewOnce(ctx context.Context) bool {
+	du.mu.Lock()
+	version, epoch := du.lease.version, du.row.epoch()
+	if du.lease.tried.IsZero() {
+		du.lease.tried = du.fl.opts.Now()
+	}
+	du.mu.Unlock()
+	raw, err := json.Marshal(ownerRow{Holder: du.fl.opts.Name, Incarnation: du.fl.opts.Incarnation, Epoch: epoch})
+	if err != nil {
+		du.fl.opts.Log.Emit(event.ClaimFailed, zap.String("cell", machinesCell), zap.Error(err))
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, du.fl.link.patience())
+	defer cancel()
+	newest, err := du.fl.link.Commit(callCtx, Tx{Expect: []Expect{{dutyPlace, version}}, Write: []Row{{Table: dutyPlace.Table, Part: dutyPlace.Part, Key: dutyPlace.Key, Value: raw}}})
+	if err == nil {
+		du.renewed(newest)
+		return true
+	}
+	if cf := conflictOf(err); cf != nil && !du.stillMine(cf) {
+		du.mu.Lock()
+		du.keeper.Overtaken()
+		du.mu.Unlock()
+	}
+	return false
+}
+
+// renewed notes a renewal. The others may have seen the first of its tries, so the time runs from that one.
+func (du *duty) renewed(version int64) {
+	du.mu.Lock()
+	defer du.mu.Unlock()
+	du.lease = dutyLease{version: version, until: du.lease.tried.Add(dutyTerm)}
+}
+
+// stillMine reports whether the rows of a conflict show the duty's row as this instance wrote it in a try whose answer was lost, and
+// takes its version if so.
+func (du *duty) stillMine(cf *Conflict) bool {
+	for _, rw := range cf.Rows {
+		var or ownerRow
+		if rw.Place() != dutyPlace || json.Unmarshal(rw.Value, &or) != nil {
+			continue
+		}
+		if or.Holder != du.fl.opts.Name || or.Incarnation != du.fl.opts.Incarnation {
+			return false
+		}
+		du.mu.Lock()
+		defer du.mu.Unlock()
+		if or.Epoch != du.row.epoch() && rw.Version != du.row.version {
+			return false
+		}
+		du.lease.version = max(du.lease.version, rw.Version)
+		return true
+	}
+	return false
+}
+
+// leaseVersion is the newest version of the duty's row that is known here.
+func (du *duty) leaseVersion() int64 {
+	du.mu.Lock()
+	defer du.mu.Unlock()
+	return du.lease.version
+}
+
+// leased reports whether orders may be given.
+func (du *duty) leased(now time.Time) bool {
+	du.mu.Lock()
+	defer du.mu.Unlock()
+	return du.cancel != nil && now.Before(du.lease.until)
+}
+
+// begin runs a part of the present tenure in the background.
+func (du *duty) begin(part func()) {
+	du.mu.Lock()
+	defer du.mu.Unlock()
+	du.tasks.Go(part)
+}
+
+// order gives one order if the lease allows it. It is given up, and cannot be carried out any more, when the lease ends.
+func (du *duty) order(ctx context.Context, give func(context.Context) machine.Outcome) machine.Outcome {
+	now := du.fl.opts.Now()
+	du.mu.Lock()
+	until, tasks := du.lease.until, du.tasks
+	if du.cancel == nil || !now.Before(until) || ctx.Err() != nil {
+		du.mu.Unlock()
+		return machine.Refused
+	}
+	// A handover waits for it.
+	tasks.Add(1)
+	du.mu.Unlock()
+	defer tasks.Done()
+	ctx, cancel := context.WithTimeout(ctx, min(machineTimeout, until.Sub(now)))
+	defer cancel()
+	return give(ctx)
+}
+
+// resting reports whether an earlier holder may have given an order for a machine so lately that this one waits. An order that was
+// carried out shows: the machine is down or moving, or its worker is new or has just gone. Maintenance of a machine that is off leaves
+// no trace afterwards. The caller holds the lock.
+func (du *duty) resting(now time.Time, mc machine.Machine) bool {
+	if du.fresh || now.Sub(du.began) >= dutyQuiet {
+		return false
+	}
+	if mc.Worker == "" && du.keeper.Wanted(mc.ID) {
+		return true
+	}
+	return !du.fl.roster.undisturbed(mc, now.Add(-dutyQuiet))
+}
--- /dev/null
+++ b/fleet/dutylease_test.go
@@ -0,0 +1,313 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/cell"
+	"github.com/aspenseam/aspenseam/machine"
+)
+
+// given is a span in which an order to a machine was under way.
+type given struct {
+	node     string
+	token    cell.Token
+	from, to time.Time
+}
+
+// orderBook notes every order that nodes give.
+type orderBook struct {
+	mu   sync.Mutex
+	list []given
+}
+
+func (ob *orderBook) add(gv given) {
+	ob.mu.Lock()
+	defer ob.mu.Unlock()
+	ob.list = append(ob.list, gv)
+}
+
+func (ob *orderBook) of(node string) []given {
+	ob.mu.Lock()
+	defer ob.mu.Unlock()
+	var list []given
+	for _, gv := range ob.list {
+		if gv.node == node {
+			list = append(list, gv)
+		}
+	}
+	return list
+}
+
+// press has a node give orders without end, most of which get no answer, and several of which are under way at any time.
+func (ob *orderBook) press(t *testing.T, nd *testNode) {
+	const atOnce, gap = 16, 37 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for turn := range atOnce {
+		wg.Go(func() {
+			sleep(ctx, time.Duration(turn)*gap)
+			for count := 0; ctx.Err() == nil; count++ {
+				ob.give(ctx, nd, count%4 != 0)
+				sleep(ctx, time.Millisecond)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+}
+
+// give gives one order, which hangs until it is given up or is answered at once.
+func (ob *orderBook) give(ctx context.Context, nd *testNode, hangs bool) {
+	nd.duty.order(ctx, func(ctx context.Context) machine.Outcome {
+		gv := given{node: nd.opts.Name, token: nd.duty.tokenNow(), from: time.Now()}
+		if hangs {
+			<-ctx.Done()
+		}
+		gv.to = time.Now()
+		ob.add(gv)
+		return machine.Silent
+	})
+}
+
+// tokenNow is the token of the present tenure.
+func (du *duty) tokenNow() cell.Token {
+	du.mu.Lock()
+	defer du.mu.Unlock()
+	return du.token
+}
+
+// holder waits until one of the nodes may give orders.
+func (st *site) holder(nodes ...*testNode) *testNode {
+	st.t.Helper()
+	var found *testNode
+	st.eventually("a holder of the machines' duty", func() bool {
+		for _, nd := range nodes {
+			if nd.duty.leased(time.Now()) {
+				found = nd
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// TestNoOrderOfAnEarlierHolderIsUnderWay: the holder loses the store and goes on; when the next one begins, all orders of the first are
+// over, those without an answer as well.
+func TestNoOrderOfAnEarlierHolderIsUnderWay(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	one, two := st.start("one"), st.start("two")
+	first := st.holder(one, two)
+	next := one
+	if first == one {
+		next = two
+	}
+	st.eventually("the other is ready", next.Ready)
+	ob := &orderBook{}
+	ob.press(t, first)
+	ob.press(t, next)
+	st.eventually("orders of the first holder", func() bool { return len(ob.of(first.opts.Name)) > 1 })
+	first.way.set(func(sw *storeWay) { sw.silent = true })
+	// The detour through the peer would keep it in office.
+	first.peers.mu.Lock()
+	first.peers.bad[next.opts.Address] = time.Now().Add(time.Hour)
+	first.peers.mu.Unlock()
+	st.eventually("orders of the next holder", func() bool { return len(ob.of(next.opts.Name)) > 0 })
+	begin := ob.of(next.opts.Name)[0]
+	for _, gv := range ob.of(first.opts.Name) {
+		if gv.to.After(begin.from) {
+			t.Fatalf("an order of the first holder ended %v after the next one began", gv.to.Sub(begin.from))
+		}
+		if gv.token >= begin.token {
+			t.Fatalf("tokens do not rise: %d, then %d", gv.token, begin.token)
+		}
+	}
+}
+
+// TestLateClaimDoesNotReplaceAHolderThatRenewed: the claim was decided, or sent, before the renewal.
+func TestLateClaimDoesNotReplaceAHolderThatRenewed(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	one := st.start("one")
+	st.holder(one)
+	two := st.start("two")
+	st.eventually("the other is ready", two.Ready)
+	stale := two.members.owner(machinesCell)
+	st.eventually("a renewal", func() bool { return one.duty.leaseVersion() > stale.version })
+	two.claimNow(context.Background(), machinesCell, stale)
+	if two.duty.held() {
+		t.Fatal("a claim in a version that is gone was granted")
+	}
+}
+
+// TestRenewalCountsFromItsFirstTry: the others may have seen that one, so the time of a later try would be too late.
+func TestRenewalCountsFromItsFirstTry(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	now := time.Now()
+	var mu sync.Mutex
+	lost := 0
+	way := &storeWay{mm: st.mm, lose: func(tx Tx) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		lost++
+		return lost == 1
+	}}
+	clock := now
+	fl := New(Options{Name: "one", Address: "127.0.0.1:1", Store: way, Workers: st.workers, Machines: noMachines{}, Format: plainFormat{}, Now: func() time.Time { return clock }})
+	fl.duty.row = ownerRow{Holder: "one", Incarnation: fl.opts.Incarnation}
+	fl.duty.keeper = machine.NewKeeper(now, 0)
+	if fl.duty.renewOnce(context.Background()) {
+		t.Fatal("a try without an answer counts as a renewal")
+	}
+	clock = now.Add(time.Second)
+	for range 2 {
+		// The first of these finds the earlier try's row, the second renews in its version.
+		fl.duty.renewOnce(context.Background())
+	}
+	if got, want := fl.duty.lease.until, now.Add(dutyTerm); !got.Equal(want) {
+		t.Fatalf("the lease ends %v after the first try, want %v", got.Sub(now), dutyTerm)
+	}
+	if fl.duty.keeper.Lost() {
+		t.Fatal("its own row was taken for another holder's")
+	}
+}
+
+// TestOrderIsGivenUpWhenTheLeaseEnds: although calls about machines may take longer.
+func TestOrderIsGivenUpWhenTheLeaseEnds(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	one := st.start("one")
+	st.holder(one)
+	one.way.set(func(sw *storeWay) { sw.silent = true })
+	st.eventually("a lease that is not renewed any more", func() bool {
+		one.duty.mu.Lock()
+		defer one.duty.mu.Unlock()
+		return time.Until(one.duty.lease.until) < machineTimeout/2
+	})
+	one.duty.mu.Lock()
+	until := one.duty.lease.until
+	one.duty.mu.Unlock()
+	one.duty.order(context.Background(), func(ctx context.Context) machine.Outcome {
+		if deadline, _ := ctx.Deadline(); deadline.After(until.Add(time.Millisecond)) {
+			t.Errorf("the order may be under way until %v after the lease", deadline.Sub(until))
+		}
+		return machine.Done
+	})
+}
+
+// TestHandedOverDutyIsTakenAtOnce: no order is under way then, and nobody waits for the lease to end.
+func TestHandedOverDutyIsTakenAtOnce(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	one := st.start("one")
+	st.holder(one)
+	two := st.start("two")
+	st.eventually("the other is ready", two.Ready)
+	ob := &orderBook{}
+	ob.press(t, one)
+	st.eventually("orders", func() bool { return len(ob.of("one")) > 0 })
+	one.HandOver(context.Background())
+	var or ownerRow
+	for _, rw := range st.mm.read(Query{Table: tableControl, Part: machinesCell, From: ownerKey, Limit: 1}).Rows {
+		if err := json.Unmarshal(rw.Value, &or); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if or.Holder == "one" {
+		t.Fatal("the duty's row still names the one that left")
+	}
+	handed := time.Now()
+	st.holder(two)
+	st.eventually("the end of what is under way", func() bool { return !one.duty.leased(time.Now()) })
+	sleep(context.Background(), dutyTerm)
+	for _, gv := range ob.of("one") {
+		if gv.to.After(handed) {
+			t.Fatal("an order was under way after the handover")
+		}
+	}
+}
+
+// TestMachinesThatMayJustHaveBeenOrderedRest: all others are dealt with at once.
+func TestMachinesThatMayJustHaveBeenOrderedRest(t *testing.T) {
+	now := time.Now()
+	long, just := now.Add(-time.Minute), now.Add(-time.Second)
+	ro := newRoster()
+	ro.put(long, cell.Worker{ID: "old", Machine: "a"})
+	ro.put(just, cell.Worker{ID: "new", Machine: "b"})
+	ro.put(long, cell.Worker{ID: "before", Machine: "c"})
+	ro.put(long, cell.Worker{ID: "moved", Machine: "d"})
+	ro.drop(just, "moved")
+	ro.put(long, cell.Worker{ID: "ended", Machine: "e"})
+	ro.drop(long, "ended")
+	for _, tc := range []struct {
+		mc   machine.Machine
+		want bool
+		why  string
+	}{
+		{machine.Machine{ID: "a", Worker: "old", State: machine.Up}, true, "its worker has been there for long"},
+		{machine.Machine{ID: "a", Worker: "old", State: machine.Moving}, false, "it is moving"},
+		{machine.Machine{ID: "b", Worker: "new", State: machine.Up}, false, "its worker has just come"},
+		{machine.Machine{ID: "c", Worker: "after", State: machine.Up}, false, "its worker is not registered yet"},
+		{machine.Machine{ID: "c", State: machine.Up}, false, "an earlier worker is still registered"},
+		{machine.Machine{ID: "d", State: machine.Up}, false, "its worker has just gone"},
+		{machine.Machine{ID: "e", State: machine.Up}, true, "it has been off for long"},
+		{machine.Machine{ID: "f", State: machine.Up}, true, "it never had a worker"},
+	} {
+		if got := ro.undisturbed(tc.mc, now.Add(-dutyQuiet)); got != tc.want {
+			t.Errorf("%s: undisturbed is %t, though %s", tc.mc.ID, got, tc.why)
+		}
+	}
+}
+
+// TestLateReportDoesNotUndoTheEnd: the word that a wave has begun is carried out after the word that it is over.
+func TestLateReportDoesNotUndoTheEnd(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	tried := make(chan struct{}, 1)
+	one := st.start("one", func(sw *storeWay) {
+		sw.lose = func(tx Tx) bool {
+			if len(tx.Write) == 1 && string(tx.Write[0].Value) == "completed false" {
+				tried <- struct{}{}
+			}
+			return false
+		}
+	})
+	st.holder(one)
+	told := func() string {
+		for _, rw := range st.mm.read(Query{Table: "status"}).Rows {
+			return string(rw.Value)
+		}
+		return ""
+	}
+	one.duty.report(context.Background(), machine.Report{Wave: 1, Completed: true})
+	st.eventually("the end is told", func() bool { return told() == "completed true" })
+	one.duty.report(context.Background(), machine.Report{Wave: 1})
+	<-tried
+	if word := told(); word != "completed true" {
+		t.Fatalf("the operator reads %q", word)
+	}
+}
+
+// TestWatchTellsWhatItReadBeforeItCountsAsRead: else a living owner's rows are older than the store's newest answer for a moment.
+func TestWatchTellsWhatItReadBeforeItCountsAsRead(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	fl := New(Options{Name: "one", Address: "127.0.0.1:1", Store: &storeWay{mm: st.mm}, Workers: st.workers, Machines: noMachines{}, Format: plainFormat{}})
+	var wt *watch
+	told := 0
+	wt = newWatch(fl, "registry", fixed(time.Millisecond), time.Millisecond, func(rows []Row, asked time.Time) {
+		told++
+		if _, until := wt.healthy(); !until.Before(asked) {
+			t.Error("the answer counts before its rows are known")
+		}
+	})
+	if err := wt.load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := wt.follow(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if told != 2 {
+		t.Fatalf("told %d times", told)
+	}
+}
--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -307,7 +308,9 @@
 func (plainFormat) Worker(rw Row) (cell.Worker, error) {
 	return cell.Worker{ID: cell.WorkerID(rw.Key), Pool: "pool", Address: rw.Key, Room: job.Size{CPUMillis: 4000, MemoryMB: 4000}}, nil
 }
-func (plainFormat) WaveStatus(int, bool) (Row, error) { return Row{}, nil }
+func (plainFormat) WaveStatus(number int, completed bool) (Row, error) {
+	return Row{Table: "status", Key: fmt.Sprintf("wave/%d", number), Value: fmt.Appendf(nil, "completed %t", completed)}, nil
+}
 
 var testQueue = job.Queue{ID: "q", Host: "h", Prefix: "/q/", Pool: "pool", MaxAttempts: 2, Stretch: 2, Slack: time.Second}
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -71,10 +71,10 @@
 	operator *watch
 	registry *watch
 	members  *members
-	mu       sync.Mutex // guards owners, roster and claiming
+	mu       sync.Mutex // guards owners and claiming
 	owners   map[string]*owner
 	claiming map[string]bool
-	roster   map[cell.WorkerID]cell.Worker
+	roster   *roster
 	intakes  [homeParts]*intake
 	pending  pendingCache
 	homes    homeCache
@@ -106,7 +106,7 @@
 	if options.Incarnation == "" {
 		options.Incarnation = table.NewID()
 	}
-	fl := &Fleet{background: context.Background(), opts: options, owners: map[string]*owner{}, claiming: map[string]bool{}, roster: map[cell.WorkerID]cell.Worker{}}
+	fl := &Fleet{background: context.Background(), opts: options, owners: map[string]*owner{}, claiming: map[string]bool{}, roster: newRoster()}
 	fl.fig = newFigures(options.Registry)
 	fl.peers = newPeers(fl)
 	fl.link = newLink(options.Store, fl.peers, options.Log, options.Now, fl.fig)
@@ -195,57 +195,6 @@
 	}
 }
 
-// registryChanged takes changes of the workers' registrations.
-func (fl *Fleet) registryChanged(rows []Row, _ time.Time) {
-	for _, rw := range rows {
-		id := cell.WorkerID(rw.Key)
-		if rw.Deleted {
-			fl.unregister(id)
-			continue
-		}
-		wk, err := fl.opts.Format.Worker(rw)
-		if err != nil {
-			fl.opts.Log.Emit(event.RegistrationRejected, zap.String("worker", rw.Key), zap.Error(err))
-			continue
-		}
-		fl.register(wk)
-	}
-}
-
-func (fl *Fleet) register(wk cell.Worker) {
-	fl.mu.Lock()
-	fl.roster[wk.ID] = wk
-	ow := fl.owners[cellName(wk.Pool)]
-	fl.mu.Unlock()
-	if ow != nil {
-		ow.post(func(cr *cell.Core, now time.Time) { cr.Register(now, wk) })
-	}
-}
-
-func (fl *Fleet) unregister(id cell.WorkerID) {
-	fl.mu.Lock()
-	wk, known := fl.roster[id]
-	delete(fl.roster, id)
-	ow := fl.owners[cellName(wk.Pool)]
-	fl.mu.Unlock()
-	if known && ow != nil {
-		ow.post(func(cr *cell.Core, now time.Time) { cr.Unregister(now, id) })
-	}
-}
-
-// workersOf lists the registered workers of a pool.
-func (fl *Fleet) workersOf(pool job.PoolID) []cell.Worker {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	var list []cell.Worker
-	for _, wk := range fl.roster {
-		if wk.Pool == pool {
-			list = append(list, wk)
-		}
-	}
-	return list
-}
-
 func (fl *Fleet) owned() []*owner {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -54,13 +54,15 @@
 	nodes  map[string]node
 	seen   map[string]time.Time
 	owners map[string]ownerRow
-	drains map[cell.MachineID]drainRow
+	// ownedAt is when a cell's row was last seen to change.
+	ownedAt map[string]time.Time
+	drains  map[cell.MachineID]drainRow
 	// vacant is since when a cell has had no owner that lives.
 	vacant map[string]time.Time
 }
 
 func newMembers(now func() time.Time) *members {
-	return &members{now: now, nodes: map[string]node{}, seen: map[string]time.Time{}, owners: map[string]ownerRow{}, drains: map[cell.MachineID]drainRow{}, vacant: map[string]time.Time{}}
+	return &members{now: now, nodes: map[string]node{}, seen: map[string]time.Time{}, owners: map[string]ownerRow{}, ownedAt: map[string]time.Time{}, drains: map[cell.MachineID]drainRow{}, vacant: map[string]time.Time{}}
 }
 
 // controlChanged takes changes of the control table. An answer of the store's, with rows or without, confirms what is owned.
@@ -110,7 +112,7 @@
 	or.version = rw.Version
 	fl.members.mu.Lock()
 	if old, ok := fl.members.owners[rw.Part]; !ok || old.version < or.version {
-		fl.members.owners[rw.Part] = or
+		fl.members.owners[rw.Part], fl.members.ownedAt[rw.Part] = or, fl.opts.Now()
 		delete(fl.members.vacant, rw.Part)
 	}
 	fl.members.mu.Unlock()
@@ -127,6 +129,13 @@
 	return mb.owners[name]
 }
 
+// changed is when a cell's row was last seen to change.
+func (mb *members) changed(name string) time.Time {
+	mb.mu.RLock()
+	defer mb.mu.RUnlock()
+	return mb.ownedAt[name]
+}
+
 // node returns an entry instance's row.
 func (mb *members) node(name string) (node, bool) {
 	mb.mu.RLock()
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -83,7 +83,7 @@
 	if cf := fl.config.Load(); cf != nil {
 		ow.core.Configure(cf.Queues)
 	}
-	for _, wk := range fl.workersOf(job.PoolID(name)) {
+	for _, wk := range fl.roster.of(job.PoolID(name)) {
 		ow.core.Register(claimed, wk)
 	}
 	ow.core.Enlisted(row.Workers)
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/aspenseam/aspenseam/event"
 	"github.com/aspenseam/aspenseam/job"
 	"github.com/aspenseam/aspenseam/peer"
+	"github.com/aspenseam/aspenseam/tcp"
 	"go.uber.org/zap"
 )
 
@@ -21,6 +21,8 @@
 	peerTimeout = 500 * time.Millisecond
 	// peerIdle is how long an unused connection to a peer is kept.
 	peerIdle = 20 * time.Second
+	// peerConnections is how many unused connections to a peer are kept.
+	peerConnections = 4
 	// maxCellBytes bounds what a peer may send.
 	maxCellBytes = 4 << 20
 	// carryTries is how many peers are asked to carry a call.
@@ -40,10 +42,9 @@
 }
 
 func newPeers(fl *Fleet) *peers {
-	dl := &net.Dialer{Timeout: peerDial, KeepAlive: 5 * time.Second}
 	return &peers{
 		fl:      fl,
-		client:  &http.Client{Transport: &http.Transport{DialContext: dl.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: peerIdle, DisableCompression: true}},
+		client:  tcp.NewClient(tcp.DialTimeout(peerDial), tcp.IdleConnections(peerConnections), tcp.IdleTime(peerIdle)),
 		clients: map[string]peer.Cells{}, bad: map[string]time.Time{},
 	}
 }
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -70,7 +70,7 @@
 // choose gives each worker of a large cell a peer, in its own hall if there is one.
 func (rs *relays) choose(now time.Time) {
 	fl := rs.ow.fl
-	workers := fl.workersOf(rs.ow.pool())
+	workers := fl.roster.of(rs.ow.pool())
 	chosen := map[cell.WorkerID]*relayLink{}
 	var links []*relayLink
 	if len(workers) > relayAfter {
--- a/fleet/release.go
+++ b/fleet/release.go
@@ -60,14 +60,15 @@
 	fl.mu.Unlock()
 	ow.stop()
 	refs, clean := ow.refs()
-	fl.vacate(ctx, ow.name, ow.rowVersion.Load(), refs, clean)
+	// A failure is logged there; the others then find the owner gone.
+	_ = fl.vacate(ctx, ow.name, ow.rowVersion.Load(), refs, clean)
 }
 
 // vacate writes that a cell has no owner, and tells the peers.
-func (fl *Fleet) vacate(ctx context.Context, name string, version int64, refs []cell.Ref, clean bool) {
+func (fl *Fleet) vacate(ctx context.Context, name string, version int64, refs []cell.Ref, clean bool) error {
 	raw, err := json.Marshal(ownerRow{Workers: refs, Released: clean})
 	if err != nil {
-		return
+		return err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
@@ -76,11 +77,12 @@
 	if err != nil {
 		// Without it the others find this instance leaving or dead, only later.
 		fl.opts.Log.Emit(event.ReleaseFailed, zap.String("cell", name), zap.Error(err))
-		return
+		return err
 	}
 	row := Row{Table: place.Table, Part: place.Part, Key: place.Key, Value: raw, Version: newest}
 	fl.takeOwner(row)
 	fl.peers.tellReleased(row)
+	return nil
 }
 
 // handOver leaves all cells without an owner and takes this instance out of the membership.
--- a/fleet/sizes.go
+++ b/fleet/sizes.go
@@ -145,7 +145,7 @@
 		sleep(ctx, sizeEvery)
 		now := du.fl.opts.Now()
 		cf := du.fl.config.Load()
-		if cf == nil || !du.confirmed(now) || now.Sub(du.began) < dutyQuiet {
+		if cf == nil || !du.leased(now) {
 			continue
 		}
 		if now.Sub(listed) >= sizeList {
@@ -185,14 +185,14 @@
 			du.mu.Unlock()
 			continue
 		}
-		go du.move(ctx, machines[sh.Machine], sh)
+		du.begin(func() { du.move(ctx, machines[sh.Machine], sh) })
 	}
 }
 
 func (du *duty) move(ctx context.Context, mc machine.Machine, sh machine.Shift) {
-	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
-	defer cancel()
-	oc := du.fl.opts.Machines.Move(callCtx, sh.Machine, sh.To, du.fl.opts.Name, du.token)
+	oc := du.order(ctx, func(ctx context.Context) machine.Outcome {
+		return du.fl.opts.Machines.Move(ctx, sh.Machine, sh.To, du.fl.opts.Name, du.token)
+	})
 	du.fl.opts.Log.Emit(event.MachineMoved, zap.String("machine", string(sh.Machine)), zap.String("worker", string(sh.Worker)), zap.String("from", string(sh.From)), zap.String("to", string(sh.To)), zap.Int("outcome", int(oc)), zap.Int64("token", int64(du.token)))
 	du.mu.Lock()
 	defer du.mu.Unlock()
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -143,9 +143,10 @@
 	if err != nil {
 		return err
 	}
-	wt.succeeded(asked)
 	wt.take(pg.Rows, asked)
 	wt.version = max(wt.version, pg.Version)
+	// Only now: whoever sees that the store answered sees what it said.
+	wt.succeeded(asked)
 	return nil
 }
 
@@ -175,7 +176,6 @@
 	if err != nil {
 		return err
 	}
-	wt.succeeded(asked)
 	held := make(map[Place]bool, len(rows))
 	for _, rw := range rows {
 		held[rw.Place()] = true
@@ -190,6 +190,7 @@
 	wt.mu.Unlock()
 	wt.version = version
 	wt.take(append(rows, gone...), asked)
+	wt.succeeded(asked)
 	wt.ready.Store(true)
 	return nil
 }
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -30,6 +30,8 @@
 	Room   job.Size
 	// Worker is the life that runs on it; empty while there is none.
 	Worker cell.WorkerID
+	// Resting means that an earlier holder of the duty may have given an order for it so lately that this one gives none.
+	Resting bool
 }
 
 // Wave is an operator's request that each of some machines has its maintenance in time.
--- a/machine/machine_test.go
+++ b/machine/machine_test.go
@@ -341,3 +341,21 @@
 		t.Fatalf("%+v, want two machines for the pool that needs three workers and has one", shifts)
 	}
 }
+
+// TestRestingMachinesGetNoOrders: an earlier holder may just have given one; neither a wave nor a pool asks for them.
+func TestRestingMachinesGetNoOrders(t *testing.T) {
+	for _, resting := range []bool{true, false} {
+		ft, _ := newFleet(t, 1, 1)
+		ft.list["a"].Worker, ft.list["a"].Resting = "", resting
+		ft.kp.List(ft.now, ft.snapshot())
+		if got := len(services(ft.kp.Plan(ft.now))) == 0; got != resting {
+			t.Errorf("resting %t: the wave leaves it alone: %t", resting, got)
+		}
+		sz := NewSizer(DefaultSizes())
+		machines := map[cell.MachineID]Machine{"a": {ID: "a", Pool: "off", State: Up, Resting: resting}}
+		loads := map[job.PoolID]cell.Load{"p": {Pool: "p", Needed: 1}}
+		if got := len(sz.Plan(ft.now, testPools, machines, loads, func(cell.MachineID) bool { return false })) == 0; got != resting {
+			t.Errorf("resting %t: the pools leave it alone: %t", resting, got)
+		}
+	}
+}
--- a/machine/size.go
+++ b/machine/size.go
@@ -196,7 +196,7 @@
 			}
 			continue
 		}
-		if mc.State != Up {
+		if mc.State != Up || mc.Resting {
 			continue
 		}
 		if pv.reserve {
--- /dev/null
+++ b/tcp/conn.go
@@ -0,0 +1,96 @@
+package tcp
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Times after which a connection counts as dead. Peers answer at the level of TCP within milliseconds even where their answers are slow,
+// so a slow store raises no false alarm.
+const (
+	// probeAfter is how long a connection may be without traffic before it is probed, probeEvery the pause between two probes.
+	probeAfter = time.Second
+	probeEvery = time.Second
+	// probeMost is how many probes may stay unanswered: a connection that nothing uses is dead after some three seconds.
+	probeMost = 2
+	// unackedMost is how long what was written may stay without an acknowledgement.
+	unackedMost = 3 * time.Second
+)
+
+var (
+	keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeMost}
+	// start is the origin of a steady clock that goes on while the process stands still.
+	start = time.Now()
+)
+
+func sinceStart() time.Duration { return time.Since(start) }
+
+// setUserTimeout bounds how long bytes may stay unacknowledged.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedMost.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
+
+// conn is a connection that writes nothing once the time of its call is over.
+type conn struct {
+	net.Conn
+	tr      *Transport
+	address string
+	// until is the end of the call's time by the steady clock, 0 for none; heard is when something was read last.
+	until, heard atomic.Int64
+	// answered is set once the answer of the newest call has begun.
+	answered atomic.Bool
+	closing  sync.Once
+}
+
+// take gives the connection to a call.
+func (cn *conn) take(ctx context.Context) {
+	if cn == nil {
+		return
+	}
+	until := int64(0)
+	if deadline, ok := ctx.Deadline(); ok {
+		until = int64(deadline.Sub(start))
+	}
+	cn.answered.Store(false)
+	cn.until.Store(until)
+}
+
+// unused reports whether no call waits for an answer on the connection.
+func (cn *conn) unused() bool { return cn.answered.Load() }
+
+// Write sends bytes of a call, unless its time is over.
+func (cn *conn) Write(raw []byte) (int, error) {
+	if until := cn.until.Load(); until != 0 && int64(sinceStart()) > until {
+		return 0, ErrLate
+	}
+	return cn.Conn.Write(raw)
+}
+
+// Read takes bytes of an answer.
+func (cn *conn) Read(into []byte) (int, error) {
+	count, err := cn.Conn.Read(into)
+	if count > 0 {
+		cn.heard.Store(int64(sinceStart()))
+		cn.answered.Store(true)
+	}
+	return count, err
+}
+
+// Close resets the connection.
+func (cn *conn) Close() error {
+	cn.closing.Do(func() { cn.tr.forget(cn) })
+	return cn.Conn.Close()
+}
--- /dev/null
+++ b/tcp/options.go
@@ -0,0 +1,43 @@
+package tcp
+
+import "time"
+
+// Option sets one property of a transport.
+type Option func(*options)
+
+type options struct {
+	dialTimeout, idleTime        time.Duration
+	connections, idleConnections int
+}
+
+// Defaults of the options.
+const (
+	// defaultDial bounds opening a connection; halls are some milliseconds apart.
+	defaultDial = time.Second
+	// defaultIdle is how long an unused connection is kept.
+	defaultIdle = 90 * time.Second
+	// defaultIdleConnections is how many unused connections to an address are kept.
+	defaultIdleConnections = 2
+)
+
+func newOptions(opts []Option) options {
+	op := options{dialTimeout: defaultDial, idleTime: defaultIdle, idleConnections: defaultIdleConnections}
+	for _, set := range opts {
+		set(&op)
+	}
+	return op
+}
+
+// DialTimeout bounds opening a connection.
+func DialTimeout(span time.Duration) Option { return func(op *options) { op.dialTimeout = span } }
+
+// IdleTime is how long an unused connection is kept.
+func IdleTime(span time.Duration) Option { return func(op *options) { op.idleTime = span } }
+
+// Connections is how many connections to an address may be open at once.
+func Connections(most int) Option {
+	return func(op *options) { op.connections, op.idleConnections = most, most }
+}
+
+// IdleConnections is how many unused connections to an address are kept.
+func IdleConnections(most int) Option { return func(op *options) { op.idleConnections = most } }
--- /dev/null
+++ b/tcp/tcp.go
@@ -0,0 +1,109 @@
+// Package tcp makes clients whose calls cannot arrive after they were given up, and that notice silent connections.
+package tcp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// ErrLate says that the time of a call was over before a byte of it was written.
+var ErrLate = errors.New("the time of the call was over before it was written")
+
+// Transport carries calls. A call that ends without a whole answer resets its connection, so that bytes which the network still holds
+// are thrown away and not delivered later. It implements http.RoundTripper.
+type Transport struct {
+	opts  options
+	inner *http.Transport
+	mu    sync.Mutex // guards open
+	// open holds the connections by address.
+	open map[string]map[*conn]bool
+}
+
+// NewClient returns a client over a transport of its own.
+func NewClient(opts ...Option) *http.Client { return &http.Client{Transport: NewTransport(opts...)} }
+
+// NewTransport returns a transport.
+func NewTransport(opts ...Option) *Transport {
+	tr := &Transport{opts: newOptions(opts), open: map[string]map[*conn]bool{}}
+	tr.inner = &http.Transport{
+		DialContext: tr.dial, DisableCompression: true, IdleConnTimeout: tr.opts.idleTime,
+		MaxConnsPerHost: tr.opts.connections, MaxIdleConnsPerHost: tr.opts.idleConnections,
+	}
+	return tr
+}
+
+// RoundTrip carries one call. Nothing of it is written after its context's deadline, even if the process stood still meanwhile. Where it
+// was given up without an answer, unused connections to the same address that have been as silent are closed: they may be as dead.
+func (tr *Transport) RoundTrip(rq *http.Request) (*http.Response, error) {
+	began := sinceStart()
+	var used *conn
+	ctx := httptrace.WithClientTrace(rq.Context(), &httptrace.ClientTrace{
+		GotConn: func(gi httptrace.GotConnInfo) {
+			used, _ = gi.Conn.(*conn)
+			used.take(rq.Context())
+		},
+	})
+	rp, err := tr.inner.RoundTrip(rq.WithContext(ctx))
+	if err != nil && used != nil && errors.Is(rq.Context().Err(), context.DeadlineExceeded) {
+		tr.dropSilent(used, began)
+	}
+	return rp, err
+}
+
+// CloseIdleConnections closes the connections that no call uses.
+func (tr *Transport) CloseIdleConnections() { tr.inner.CloseIdleConnections() }
+
+// dial opens a connection.
+func (tr *Transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dl := &net.Dialer{Timeout: tr.opts.dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	inner, err := dl.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tc, ok := inner.(*net.TCPConn); ok {
+		// Closing resets: what was not delivered by then never is.
+		if err := tc.SetLinger(0); err != nil {
+			inner.Close()
+			return nil, err
+		}
+	}
+	cn := &conn{Conn: inner, tr: tr, address: address}
+	cn.heard.Store(int64(sinceStart()))
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if tr.open[address] == nil {
+		tr.open[address] = map[*conn]bool{}
+	}
+	tr.open[address][cn] = true
+	return cn, nil
+}
+
+// forget takes a connection that is closed out of the list.
+func (tr *Transport) forget(cn *conn) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	delete(tr.open[cn.address], cn)
+	if len(tr.open[cn.address]) == 0 {
+		delete(tr.open, cn.address)
+	}
+}
+
+// dropSilent closes the connections to an address that nothing uses and on which nothing was heard since a call began that failed.
+func (tr *Transport) dropSilent(failed *conn, since time.Duration) {
+	tr.mu.Lock()
+	var silent []*conn
+	for cn := range tr.open[failed.address] {
+		if cn != failed && cn.unused() && cn.heard.Load() < int64(since) {
+			silent = append(silent, cn)
+		}
+	}
+	tr.mu.Unlock()
+	for _, cn := range silent {
+		cn.Close()
+	}
+}
