An instance that is cut off calls itself not ready, so that callers are served elsewhere

Ruled out: another Retry-After (clients shorten their waits to fit their 3 s whatever it says). Jobs whose write had no answer were held until their clients' deadlines.

Change: while the store has been silent for 0.3 s, some instances of other halls are asked; if none answers, this one is cut off: not ready, closing its connections, refusing new jobs at once, and telling the callers of jobs in doubt at once that their end is not known. A store that is down for all is no cut, since the other halls answer.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -73,6 +73,8 @@
 	MachineMoved         = Kind{827, "move of a machine ordered", zapcore.InfoLevel, "Nothing."}
 	PoolLoad             = Kind{828, "load of a pool", zapcore.InfoLevel, "Nothing; needed, placed and lasting are in machines."}
 	RelayLost            = Kind{830, "peer that carries out orders failed", zapcore.WarnLevel, "Nothing if it passes; its workers are called through another peer, or directly."}
+	HallCutOff           = Kind{831, "neither the store nor another hall answers", zapcore.WarnLevel, "The platform sends callers to other halls; look at the hall's network."}
+	HallReached          = Kind{832, "the store or another hall answers again", zapcore.InfoLevel, "Nothing."}
 	JobKnown             = Kind{829, "job was accepted before", zapcore.InfoLevel, "Nothing; the caller's second try is the same job."}
 )
 
@@ -88,5 +90,5 @@
 	QueuesInForce, OperatorRowRejected, RegistrationRejected, ControlRowRejected, JobRowRejected, StoreReached, StoreLost, StoreDetour,
 	CellClaimed, CellLoaded, CellLost, CellReleased, ClaimFailed, ReleaseFailed, SaveFailed, CellDecided,
 	JobAccepted, JobRefused, JobCancelled, AdviceFailed, PeerSilent, CarryRejected,
-	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown, RelayLost,
+	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown, RelayLost, HallCutOff, HallReached,
 }
--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -321,6 +321,8 @@
 	workers *fakeWorkers
 	// workersAt are the workers as a node calls them; nil for the same ones everywhere.
 	workersAt func(name string) Workers
+	// halls are those of nodes; h unless one is named.
+	halls map[string]string
 	// retention is how long the state of an ended job is kept.
 	retention time.Duration
 }
@@ -329,6 +331,7 @@
 type testNode struct {
 	*Fleet
 	way  *storeWay
+	srv  *http.Server
 	stop context.CancelFunc
 	done chan struct{}
 }
@@ -364,7 +367,11 @@
 	if st.workersAt != nil {
 		workers = st.workersAt(name)
 	}
-	fl := New(Options{Name: name, Hall: "h", Address: ln.Addr().String(), Store: way, Workers: workers, Machines: noMachines{}, Format: plainFormat{}})
+	hall := "h"
+	if named, ok := st.halls[name]; ok {
+		hall = named
+	}
+	fl := New(Options{Name: name, Hall: hall, Address: ln.Addr().String(), Store: way, Workers: workers, Machines: noMachines{}, Format: plainFormat{}})
 	srv := &http.Server{Handler: fl.Handler()}
 	go func() {
 		// It ends when the test closes it.
@@ -372,7 +379,7 @@
 	}()
 	fl.opts.Cell.Retention = st.retention
 	ctx, cancel := context.WithCancel(context.Background())
-	nd := &testNode{Fleet: fl, way: way, stop: cancel, done: make(chan struct{})}
+	nd := &testNode{Fleet: fl, way: way, srv: srv, stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(nd.done)
 		fl.Run(ctx)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,7 @@
 	homes    homeCache
 	stopping atomic.Bool
 	duty     *duty
+	reach    *reach
 	relay    *relay
 	// errands numbers the orders that peers are given.
 	errands atomic.Uint64
@@ -118,6 +119,7 @@
 		fl.intakes[part] = newIntake(fl, part)
 	}
 	fl.duty = newDuty(fl)
+	fl.reach = &reach{fl: fl}
 	fl.relay = newRelay(fl)
 	return fl
 }
@@ -134,6 +136,7 @@
 	}
 	wg.Go(func() { fl.beat(ctx) })
 	wg.Go(func() { fl.own(ctx) })
+	wg.Go(func() { fl.reach.run(ctx) })
 	wg.Wait()
 }
 
@@ -143,9 +146,10 @@
 	fl.handOver(ctx)
 }
 
-// Ready reports whether the instance can serve: it has a configuration and knows the owners of cells.
+// Ready reports whether the instance can serve: it has a configuration, knows the owners of cells, and is not cut off from the store and
+// the other halls, where its callers are served better.
 func (fl *Fleet) Ready() bool {
-	return !fl.stopping.Load() && fl.config.Load() != nil && fl.control.loaded() && fl.registry.loaded()
+	return !fl.stopping.Load() && !fl.CutOff() && fl.config.Load() != nil && fl.control.loaded() && fl.registry.loaded()
 }
 
 // Configuration returns the configuration in force, nil before the first.
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -85,7 +85,7 @@
 	if fl.knownHome(sp.ID) {
 		return Accepted, 0
 	}
-	if !fl.link.Reachable() && !fl.control.fresh(fl.opts.Now()) {
+	if fl.CutOff() || !fl.link.Reachable() && !fl.control.fresh(fl.opts.Now()) {
 		// Nothing was sent, so it has not run and will not.
 		fl.fig.refused.Inc(1)
 		fl.logJob(event.JobRefused, sp.ID, zap.String("why", "the store does not answer"))
@@ -164,11 +164,16 @@
 	return append(group, rest...)
 }
 
-// expire answers the callers whose time is over.
+// expire answers the callers whose time is over, and all of them once this instance is cut off.
 func (in *intake) expire(waiting []*handed) []*handed {
 	var left []*handed
 	for _, hd := range waiting {
 		switch {
+		case in.fl.CutOff() && hd.unsure:
+			// Another hall can find out what became of it.
+			hd.verdict <- Unknown
+		case in.fl.CutOff():
+			hd.verdict <- Refused
 		case hd.ctx.Err() == nil:
 			left = append(left, hd)
 		case hd.unsure:
--- a/fleet/link.go
+++ b/fleet/link.go
@@ -58,6 +58,8 @@
 	// detour is until when calls go through a peer first.
 	detour time.Time
 	fails  int
+	// answered is when the store was heard of last, in either way.
+	answered time.Time
 	// pace is the smoothed time that a transaction takes.
 	pace time.Duration
 }
@@ -184,7 +186,14 @@
 		ln.fig.storeFailed.Inc(1)
 		return
 	}
-	ln.fails = 0
+	ln.fails, ln.answered = 0, ln.now()
+}
+
+// heard is when the store was heard of last.
+func (ln *link) heard() time.Time {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.answered
 }
 
 // viaPeer has a peer carry the call; ErrRefused if no peer could.
--- /dev/null
+++ b/fleet/reach_test.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// cutSite has two nodes in the hall here and one elsewhere, all of which know each other.
+func cutSite(t *testing.T) (st *site, here, beside, far *testNode) {
+	st = newSite(t, time.Millisecond)
+	st.halls = map[string]string{"here": "a", "beside": "a", "far": "b"}
+	here, beside, far = st.start("here"), st.start("beside"), st.start("far")
+	for _, nd := range []*testNode{here, beside, far} {
+		st.eventually("all know each other", func() bool { return nd.Ready() && nd.members.count() == 3 })
+	}
+	return st, here, beside, far
+}
+
+// TestCutOffInstanceSendsCallersElsewhere: nothing answers but the neighbour in its own hall, which is cut off as well. A job that the
+// store may have taken gets its answer at once, since another hall can find out.
+func TestCutOffInstanceSendsCallersElsewhere(t *testing.T) {
+	st, here, _, far := cutSite(t)
+	here.way.set(func(sw *storeWay) { sw.silent = true })
+	ctx, cancel := context.WithTimeout(context.Background(), longWait)
+	defer cancel()
+	waiting := make(chan Verdict, 1)
+	go func() {
+		vd, _ := here.Submit(ctx, spec("c1"))
+		waiting <- vd
+	}()
+	if err := far.srv.Close(); err != nil {
+		t.Fatal(err)
+	}
+	st.eventually("it is seen that the hall is cut off", here.CutOff)
+	if here.Ready() {
+		t.Error("ready although the hall is cut off")
+	}
+	if vd := <-waiting; vd == Accepted {
+		t.Errorf("verdict %d for a job that the store has not acknowledged", vd)
+	}
+	if ctx.Err() != nil {
+		t.Error("the answer came with the end of the caller's time")
+	}
+	if vd := st.submit(here, "c2"); vd != Refused {
+		t.Errorf("verdict %d for a new job", vd)
+	}
+	here.way.set(func(sw *storeWay) { sw.silent = false })
+	st.eventually("it is ready again", here.Ready)
+}
+
+// TestStoreThatIsDownIsNoCut: the other hall answers, and callers are no better off there.
+func TestStoreThatIsDownIsNoCut(t *testing.T) {
+	st, here, beside, far := cutSite(t)
+	for _, nd := range []*testNode{here, beside, far} {
+		nd.way.set(func(sw *storeWay) { sw.silent = true })
+	}
+	st.eventually("the store has been silent for long", func() bool { return time.Since(here.link.heard()) > 4*reachSilent })
+	if here.CutOff() || !here.Ready() {
+		t.Error("an outage of the store was taken for a cut")
+	}
+}
--- a/serve.go
+++ b/serve.go
@@ -95,7 +95,8 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	stopping := func() bool { return ctx.Err() != nil }
-	clients := &http.Server{Handler: &openRequests{Handler: platform.NewClients(fl, stopping)}, ReadHeaderTimeout: headerTime, ReadTimeout: headerTime, IdleTimeout: idleTime}
+	elsewhere := func() bool { return stopping() || fl.CutOff() }
+	clients := &http.Server{Handler: &openRequests{Handler: platform.NewClients(fl, elsewhere)}, ReadHeaderTimeout: headerTime, ReadTimeout: headerTime, IdleTimeout: idleTime}
 	failed := make(chan error, 4)
 	servers := []struct {
 		srv         *http.Server
