The dead are told after 1.5 s where the store is fast, and the living beat twice a second

Change: beats each 0.5 s, 0.15 s after one that failed; dead after 1.5 s and four transactions' time, at most the 2.5 s of before.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -26,8 +26,14 @@
 // Times of membership and ownership.
 const (
 	// beatEvery is how often an entry instance renews its row.
-	beatEvery = time.Second
-	// deadAfter is how long a row may stand still before its entry instance counts as dead: two beats, and what a slow store adds.
+	beatEvery = 500 * time.Millisecond
+	// beatAgain is the pause after a beat that failed, so that the living are seen soon after an outage of the store.
+	beatAgain = 150 * time.Millisecond
+	// deadLeast is how long a row may stand still before its entry instance counts as dead while the store is fast: two beats, one lost
+	// answer and the gaps of the feed. A slow store adds deadPaces times what a transaction takes, up to deadAfter.
+	deadLeast = 1500 * time.Millisecond
+	deadPaces = 4
+	// deadAfter is the longest, and how old the newest word of the store may be for claims.
 	deadAfter = 2500 * time.Millisecond
 	// ownEvery is how often ownership is looked over.
 	ownEvery = 100 * time.Millisecond
--- a/fleet/link.go
+++ b/fleet/link.go
@@ -80,6 +80,13 @@
 	return min(patienceMost, max(patienceLeast, patienceTimes*ln.pace))
 }
 
+// usual is the smoothed time that a transaction takes.
+func (ln *link) usual() time.Duration {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.pace
+}
+
 // took notes how long a transaction took, or was waited for in vain.
 func (ln *link) took(span time.Duration) {
 	ln.mu.Lock()
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -168,18 +168,24 @@
 // alive lists the entry instances whose rows move, as far as the store has been answering.
 func (fl *Fleet) alive() map[string]node {
 	since, until := fl.control.healthy()
+	most := fl.patienceWithPeers()
 	mb := fl.members
 	mb.mu.RLock()
 	defer mb.mu.RUnlock()
 	live := map[string]node{}
 	for name, nd := range mb.nodes {
-		if until.Sub(later(mb.seen[name], since)) < deadAfter {
+		if until.Sub(later(mb.seen[name], since)) < most {
 			live[name] = nd
 		}
 	}
 	return live
 }
 
+// patienceWithPeers is how long the row of an entry instance may stand still before it counts as dead.
+func (fl *Fleet) patienceWithPeers() time.Duration {
+	return min(deadAfter, deadLeast+deadPaces*fl.link.usual())
+}
+
 func later(one, other time.Time) time.Time {
 	if one.After(other) {
 		return one
@@ -196,12 +202,16 @@
 		nd.Leaving = fl.stopping.Load()
 		raw, err := json.Marshal(nd)
 		if err == nil {
-			callCtx, cancel := context.WithTimeout(ctx, beatEvery)
-			// The watch of the control table logs that the store is lost; the next beat is the retry.
-			_, _ = fl.link.Commit(callCtx, Tx{Write: []Row{{Table: tableControl, Part: nodePrefix + fl.opts.Name, Key: nodePrefix + fl.opts.Name, Value: raw}}})
+			callCtx, cancel := context.WithTimeout(ctx, fl.link.patience())
+			_, err = fl.link.Commit(callCtx, Tx{Write: []Row{{Table: tableControl, Part: nodePrefix + fl.opts.Name, Key: nodePrefix + fl.opts.Name, Value: raw}}})
 			cancel()
 		}
-		sleep(ctx, beatEvery)
+		// The watch of the control table logs that the store is lost.
+		pause := beatEvery
+		if err != nil {
+			pause = beatAgain
+		}
+		sleep(ctx, pause)
 	}
 }
 
