--- a/fleet/reach_test.go
+++ b/fleet/reach_test.go
@@ -20,8 +20,10 @@
 // TestCutOffInstanceSendsCallersElsewhere: nothing answers but the neighbour in its own hall, which is cut off as well. A job that the
 // store may have taken gets its answer at once, since another hall can find out.
 func TestCutOffInstanceSendsCallersElsewhere(t *testing.T) {
-	st, here, _, far := cutSite(t)
-	here.way.set(func(sw *storeWay) { sw.silent = true })
+	st, here, beside, far := cutSite(t)
+	for _, nd := range []*testNode{here, beside} {
+		nd.way.set(func(sw *storeWay) { sw.silent = true })
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), longWait)
 	defer cancel()
 	waiting := make(chan Verdict, 1)
