--- a/fleet/link.go
+++ b/fleet/link.go
@@ -60,8 +60,8 @@
 	fails  int
 	// answered is when the store was heard of last, in either way.
 	answered time.Time
-	// pace is the smoothed time that a transaction takes.
-	pace time.Duration
+	// pace is the smoothed time that a transaction takes or is waited for in vain, answer that of those that were answered.
+	pace, answer time.Duration
 }
 
 // How long a transaction may take before it is tried again.
@@ -80,18 +80,22 @@
 	return min(patienceMost, max(patienceLeast, patienceTimes*ln.pace))
 }
 
-// usual is the smoothed time that a transaction takes.
+// usual is the smoothed time that a transaction takes which is answered. An outage does not count: after it the dead are told as soon as
+// before.
 func (ln *link) usual() time.Duration {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	return ln.pace
+	return ln.answer
 }
 
 // took notes how long a transaction took, or was waited for in vain.
-func (ln *link) took(span time.Duration) {
+func (ln *link) took(span time.Duration, answered bool) {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	ln.pace += time.Duration(paceShare * float64(span-ln.pace))
+	if answered {
+		ln.answer += time.Duration(paceShare * float64(span-ln.answer))
+	}
 }
 
 func newLink(store Store, pr *peers, lg *event.Logger, now func() time.Time, fig figures) *link {
@@ -110,7 +114,7 @@
 	asked := ln.now()
 	an, err := ln.call(ctx, carried{Kind: callCommit, Tx: &tx})
 	if !errors.Is(err, ErrRefused) {
-		ln.took(ln.now().Sub(asked))
+		ln.took(ln.now().Sub(asked), !errors.Is(err, ErrSilent))
 	}
 	return an.Version, err
 }
