The term of the machines' lease follows the store's pace

Change: the row tells the term, 1.1 s or 0.3 s and four times what an answered transaction takes, at most 3 s; the others wait for that and 0.3 s more.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -130,7 +130,7 @@
 		return false
 	}
 	since, until := fl.control.healthy()
-	return until.Sub(later(fl.members.changed(machinesCell), since)) < dutyDead
+	return until.Sub(later(fl.members.changed(machinesCell), since)) < max(or.Term, dutyTerm)+dutyMargin
 }
 
 // works reports whether this instance works on a cell, or is about to.
--- a/fleet/dutylease.go
+++ b/fleet/dutylease.go
@@ -15,16 +15,19 @@
 
 // Times of the lease under which orders to machines are given. Where the platform does not check tokens, nothing but this lease keeps two
 // holders apart: the row of the duty is renewed under the condition that nobody else has written it, and taken from a holder only in the
-// version in which it has stood still for dutyDead.
+// version in which it has stood still for longer than the term that it tells.
 const (
 	// dutyRenew is how often the holder renews its lease, renewAgain the pause after a try that failed.
 	dutyRenew  = 300 * time.Millisecond
 	renewAgain = 200 * time.Millisecond
-	// dutyTerm is how long orders may be under way after a renewal was sent.
-	dutyTerm = 1100 * time.Millisecond
-	// dutyDead is how long the row must have stood still before another instance takes the duty. It exceeds dutyTerm by what clocks may
-	// differ in rate and an order needs on its way.
-	dutyDead = 1400 * time.Millisecond
+	// dutyTerm is how long orders may be under way after a renewal was sent to a store that is fast. A slow one adds termPaces times what a
+	// transaction takes, up to dutyTermMost; else no renewal would be answered in time, and no order given. The row tells the term.
+	dutyTerm     = 1100 * time.Millisecond
+	dutyTermMost = 3 * time.Second
+	termPaces    = 4
+	// dutyMargin is by how much longer than its term the row must have stood still before another instance takes the duty: what clocks may
+	// differ in rate, and what an order needs on its way.
+	dutyMargin = 300 * time.Millisecond
 )
 
 // dutyPlace is the row of the machines' duty.
@@ -75,7 +78,7 @@
 	for _, id := range next {
 		du.lease.ordered[id] = now
 	}
-	or := ownerRow{Holder: du.fl.opts.Name, Incarnation: du.fl.opts.Incarnation, Epoch: du.row.epoch(), Ordered: du.lease.recent(now)}
+	or := ownerRow{Holder: du.fl.opts.Name, Incarnation: du.fl.opts.Incarnation, Epoch: du.row.epoch(), Ordered: du.lease.recent(now), Term: du.fl.dutyTerm()}
 	du.mu.Unlock()
 	raw, err := json.Marshal(or)
 	if err != nil {
@@ -86,7 +89,7 @@
 	defer cancel()
 	newest, err := du.fl.link.Commit(callCtx, Tx{Expect: []Expect{{dutyPlace, version}}, Write: []Row{{Table: dutyPlace.Table, Part: dutyPlace.Part, Key: dutyPlace.Key, Value: raw}}})
 	if err == nil {
-		du.renewed(newest, or.Ordered)
+		du.renewed(newest, or)
 		return true
 	}
 	if cf := conflictOf(err); cf != nil && !du.stillMine(cf) {
@@ -97,12 +100,17 @@
 	return false
 }
 
+// dutyTerm is the term that a renewal asks for now.
+func (fl *Fleet) dutyTerm() time.Duration {
+	return min(dutyTermMost, max(dutyTerm, dutyRenew+termPaces*fl.link.usual()))
+}
+
 // renewed notes a renewal. The others may have seen the first of its tries, so the time runs from that one.
-func (du *duty) renewed(version int64, named []cell.MachineID) {
+func (du *duty) renewed(version int64, or ownerRow) {
 	du.mu.Lock()
 	defer du.mu.Unlock()
-	du.lease.version, du.lease.until, du.lease.tried = version, du.lease.tried.Add(dutyTerm), time.Time{}
-	du.lease.named = named
+	du.lease.version, du.lease.until, du.lease.tried = version, du.lease.tried.Add(or.Term), time.Time{}
+	du.lease.named = or.Ordered
 }
 
 // stillMine reports whether the rows of a conflict show the duty's row as this instance wrote it in a try whose answer was lost, and
--- a/fleet/dutylease_test.go
+++ b/fleet/dutylease_test.go
@@ -141,6 +141,38 @@
 	}
 }
 
+// TestTermFollowsTheStore: a store whose answers take long makes the term longer, and the others wait as long as the row says.
+func TestTermFollowsTheStore(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	fl := New(Options{Name: "one", Address: "127.0.0.1:1", Store: &storeWay{mm: st.mm}, Workers: st.workers, Machines: noMachines{}, Format: plainFormat{}})
+	if fast := fl.dutyTerm(); fast != dutyTerm {
+		t.Errorf("the term is %v while the store is fast", fast)
+	}
+	fl.link.answer = 500 * time.Millisecond
+	slow := fl.dutyTerm()
+	if slow < 4*fl.link.answer || slow > dutyTermMost {
+		t.Errorf("the term is %v while a transaction takes %v", slow, fl.link.answer)
+	}
+	now := time.Now()
+	fl.control.since.Store(now.Add(-time.Hour).UnixNano())
+	fl.control.good.Store(now.UnixNano())
+	for _, tc := range []struct {
+		term, still time.Duration
+		held        bool
+	}{
+		{dutyTerm, dutyTerm, true},
+		{dutyTerm, dutyTerm + 2*dutyMargin, false},
+		{slow, dutyTerm + 2*dutyMargin, true},
+		{slow, slow + 2*dutyMargin, false},
+		{0, dutyTerm, true},
+	} {
+		fl.members.ownedAt[machinesCell] = now.Add(-tc.still)
+		if got := fl.dutyHeld(ownerRow{Holder: "two", Term: tc.term}); got != tc.held {
+			t.Errorf("a row of term %v that stands still for %v: held is %t", tc.term, tc.still, got)
+		}
+	}
+}
+
 // TestLateClaimDoesNotReplaceAHolderThatRenewed: the claim was decided, or sent, before the renewal.
 func TestLateClaimDoesNotReplaceAHolderThatRenewed(t *testing.T) {
 	st := newSite(t, time.Millisecond)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -35,6 +35,8 @@
 	Workers     []cell.Ref `json:"workers,omitempty"`
 	// Ordered are the machines for which the holder of their duty has given orders of late, or is about to.
 	Ordered []cell.MachineID `json:"ordered,omitempty"`
+	// Term is for how long after a renewal was sent the holder of the machines' duty may have orders under way.
+	Term time.Duration `json:"term,omitempty"`
 	// Released means that the last owner gave the cell up and has given no lease since.
 	Released bool `json:"released,omitempty"`
 	// version is that of the row.
