Machines rest for what is left of their time, and not for orders that were never given

Change: the row tells for how long from its writing each machine is to be left alone: 3.2 s after the last order was over, and the term more where one may still be given; a machine whose order was refused before it was given drops out.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -203,7 +203,7 @@
 		fl.opts.Log.Emit(event.ClaimFailed, zap.String("cell", name), zap.Error(err))
 		return
 	}
-	next.version = version
+	next.version, next.seen = version, fl.opts.Now()
 	fl.members.mu.Lock()
 	if fl.members.owners[name].version < version {
 		fl.members.owners[name], fl.members.ownedAt[name] = next, fl.opts.Now()
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -51,9 +51,8 @@
 	records map[int]waveRecord
 	keeper  *machine.Keeper
 	sizer   *machine.Sizer
-	// began is when this instance claimed the duty, before the machines that the holder before may have given orders for of late.
-	began  time.Time
-	before []cell.MachineID
+	// before is the row of the holder before.
+	before ownerRow
 	cancel context.CancelFunc
 	// renewing is held while the lease is renewed.
 	renewing sync.Mutex
@@ -101,12 +100,12 @@
 		du.cancel()
 	}
 	du.keeper, du.cancel, du.row = machine.NewKeeper(fl.opts.Now(), dutyQuiet), cancel, row
-	du.sizer, du.began, du.before = machine.NewSizer(fl.opts.Sizes), fl.opts.Now(), before.Ordered
+	du.sizer, du.before = machine.NewSizer(fl.opts.Sizes), before
 	du.token = cell.Token(row.epoch()) << tokenShift
 	// What the one before it rested from, a holder after this one has to as well.
-	du.lease = dutyLease{version: row.version, ordered: map[cell.MachineID]time.Time{}}
-	for _, id := range before.Ordered {
-		du.lease.ordered[id] = du.began
+	du.lease = dutyLease{version: row.version, ordered: map[cell.MachineID]*orderedMachine{}}
+	for id, left := range before.Ordered {
+		du.lease.of(id).over = before.seen.Add(left - dutyQuiet)
 	}
 	tasks := &sync.WaitGroup{}
 	du.tasks = tasks
@@ -318,7 +317,7 @@
 	tasks.Wait()
 	for ctx.Err() == nil {
 		du.mu.Lock()
-		row := ownerRow{Released: true, Ordered: du.lease.recent(du.fl.opts.Now())}
+		row := ownerRow{Released: true, Ordered: du.lease.recent(du.fl.opts.Now(), 0)}
 		du.mu.Unlock()
 		cf := conflictOf(du.fl.vacate(ctx, machinesCell, du.leaseVersion(), row))
 		if cf == nil || !du.stillMine(cf) {
--- a/fleet/dutylease.go
+++ b/fleet/dutylease.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/aspenseam/aspenseam/cell"
@@ -41,16 +39,45 @@
 	until time.Time
 	// tried is when the first try at the present renewal was sent; zero if none is under way.
 	tried time.Time
-	// ordered are the machines that orders have been given for, or are to be, with when that was announced last; named those that the
-	// duty's row names.
-	ordered map[cell.MachineID]time.Time
-	named   []cell.MachineID
+	// ordered are the machines that orders have been given for of late, or are to be; named those that the duty's row names.
+	ordered map[cell.MachineID]*orderedMachine
+	named   map[cell.MachineID]time.Duration
 }
 
-// recent are the machines that a holder after this one must leave alone for a while.
-func (dl *dutyLease) recent(now time.Time) []cell.MachineID {
-	maps.DeleteFunc(dl.ordered, func(_ cell.MachineID, at time.Time) bool { return now.Sub(at) > dutyQuiet })
-	return slices.Sorted(maps.Keys(dl.ordered))
+// orderedMachine is what is known of the orders for a machine.
+type orderedMachine struct {
+	// over is when the last order was over, announced whether another may follow, and active how many are under way.
+	over      time.Time
+	announced bool
+	active    int
+}
+
+// recent are the machines that a holder after this one must leave alone, and for how long from now. Orders that may still be given, or are
+// under way, are over with the term at the latest.
+func (dl *dutyLease) recent(now time.Time, term time.Duration) map[cell.MachineID]time.Duration {
+	list := map[cell.MachineID]time.Duration{}
+	for id, om := range dl.ordered {
+		left := dutyQuiet - now.Sub(om.over)
+		if om.announced || om.active > 0 {
+			left = dutyQuiet + term
+		}
+		if left <= 0 {
+			delete(dl.ordered, id)
+			continue
+		}
+		list[id] = left
+	}
+	return list
+}
+
+// of is what is known of a machine.
+func (dl *dutyLease) of(id cell.MachineID) *orderedMachine {
+	om, ok := dl.ordered[id]
+	if !ok {
+		om = &orderedMachine{}
+		dl.ordered[id] = om
+	}
+	return om
 }
 
 // renew keeps the lease until the context ends or another holder is met.
@@ -76,9 +103,10 @@
 		du.lease.tried = now
 	}
 	for _, id := range next {
-		du.lease.ordered[id] = now
+		du.lease.of(id).announced = true
 	}
-	or := ownerRow{Holder: du.fl.opts.Name, Incarnation: du.fl.opts.Incarnation, Epoch: du.row.epoch(), Ordered: du.lease.recent(now), Term: du.fl.dutyTerm()}
+	term := du.fl.dutyTerm()
+	or := ownerRow{Holder: du.fl.opts.Name, Incarnation: du.fl.opts.Incarnation, Epoch: du.row.epoch(), Ordered: du.lease.recent(now, term), Term: term}
 	du.mu.Unlock()
 	raw, err := json.Marshal(or)
 	if err != nil {
@@ -160,15 +188,27 @@
 func (du *duty) order(ctx context.Context, id cell.MachineID, give func(context.Context) machine.Outcome) machine.Outcome {
 	now := du.fl.opts.Now()
 	du.mu.Lock()
-	until, tasks := du.lease.until, du.tasks
-	if du.cancel == nil || !now.Before(until) || ctx.Err() != nil || !slices.Contains(du.lease.named, id) {
+	if du.cancel == nil || ctx.Err() != nil {
 		du.mu.Unlock()
 		return machine.Refused
 	}
+	until, tasks, om := du.lease.until, du.tasks, du.lease.of(id)
+	om.announced = false
+	if _, named := du.lease.named[id]; !named || !now.Before(until) {
+		du.mu.Unlock()
+		return machine.Refused
+	}
+	om.active++
 	// A handover waits for it.
 	tasks.Add(1)
 	du.mu.Unlock()
-	defer tasks.Done()
+	defer func() {
+		du.mu.Lock()
+		om.active--
+		om.over = du.fl.opts.Now()
+		du.mu.Unlock()
+		tasks.Done()
+	}()
 	ctx, cancel := context.WithTimeout(ctx, min(machineTimeout, until.Sub(now)))
 	defer cancel()
 	return give(ctx)
@@ -184,5 +224,6 @@
 
 // resting reports whether the holder before may have given an order for a machine so lately that this one waits. The caller holds the lock.
 func (du *duty) resting(now time.Time, id cell.MachineID) bool {
-	return now.Sub(du.began) < dutyQuiet && slices.Contains(du.before, id)
+	left, named := du.before.Ordered[id]
+	return named && now.Before(du.before.seen.Add(left))
 }
--- a/fleet/dutylease_test.go
+++ b/fleet/dutylease_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -204,7 +204,7 @@
 	fl := New(Options{Name: "one", Address: "127.0.0.1:1", Store: way, Workers: st.workers, Machines: noMachines{}, Format: plainFormat{}, Now: func() time.Time { return clock }})
 	fl.duty.row = ownerRow{Holder: "one", Incarnation: fl.opts.Incarnation}
 	fl.duty.keeper = machine.NewKeeper(now, 0)
-	fl.duty.lease.ordered = map[cell.MachineID]time.Time{}
+	fl.duty.lease.ordered = map[cell.MachineID]*orderedMachine{}
 	if fl.duty.renewOnce(context.Background(), nil) {
 		t.Fatal("a try without an answer counts as a renewal")
 	}
@@ -294,44 +294,70 @@
 		one.duty.announce(context.Background(), []cell.MachineID{"m1"})
 		return give("m1")
 	})
-	if row := st.dutyRow(); !slices.Contains(row.Ordered, "m1") {
+	row := st.dutyRow()
+	if _, named := row.Ordered["m1"]; !named {
 		t.Fatalf("the row names %v", row.Ordered)
 	}
 }
 
-// TestNextHolderRestsFromWhatTheRowNames: and from nothing else; so does one after it, whether the duty is handed over or taken.
+// TestNextHolderRestsFromWhatTheRowNames: and from nothing else, and tells a holder after it, whether the duty is handed over or taken.
 func TestNextHolderRestsFromWhatTheRowNames(t *testing.T) {
 	st := newSite(t, time.Millisecond)
 	one := st.start("one")
 	st.holder(one)
-	one.duty.announce(context.Background(), []cell.MachineID{"m1"})
+	st.eventually("an order", func() bool {
+		one.duty.announce(context.Background(), []cell.MachineID{"m1"})
+		given := false
+		one.duty.order(context.Background(), "m1", func(context.Context) machine.Outcome {
+			given = true
+			return machine.Done
+		})
+		return given
+	})
 	two := st.start("two")
 	st.eventually("the other is ready", two.Ready)
 	one.HandOver(context.Background())
 	st.holder(two)
-	if !two.duty.rests("m1") || two.duty.rests("m2") {
-		t.Fatalf("rests from m1: %t, from m2: %t", two.duty.rests("m1"), two.duty.rests("m2"))
+	two.duty.mu.Lock()
+	before := two.duty.before
+	two.duty.mu.Unlock()
+	if left := before.Ordered["m1"]; left <= 0 || left > dutyQuiet || len(before.Ordered) != 1 {
+		t.Fatalf("the row names %v", before.Ordered)
 	}
-	two.stop()
-	<-two.done
-	three := st.start("three")
-	st.holder(three)
-	if time.Since(three.duty.began) < dutyQuiet && !three.duty.rests("m1") {
-		t.Fatal("the holder after the next one does not rest")
+	if _, passed := st.dutyRow().Ordered["m1"]; !passed && time.Since(before.seen) < dutyQuiet/2 {
+		t.Fatal("the next holder's row does not name it")
 	}
-	three.duty.mu.Lock()
-	three.duty.began = time.Now().Add(-dutyQuiet)
-	three.duty.mu.Unlock()
-	if three.duty.rests("m1") {
-		t.Fatal("it rests for ever")
+	for _, tc := range []struct {
+		id    cell.MachineID
+		after time.Duration
+		want  bool
+	}{{"m1", 0, true}, {"m1", dutyQuiet, false}, {"m2", 0, false}} {
+		two.duty.mu.Lock()
+		got := two.duty.resting(before.seen.Add(tc.after), tc.id)
+		two.duty.mu.Unlock()
+		if got != tc.want {
+			t.Errorf("%s rests after %v: %t", tc.id, tc.after, got)
+		}
 	}
 }
 
-// rests reports whether a holder leaves a machine alone now.
-func (du *duty) rests(id cell.MachineID) bool {
-	du.mu.Lock()
-	defer du.mu.Unlock()
-	return du.resting(time.Now(), id)
+// TestRowTellsForHowLongMachinesRest: an order that is over rests for what is left, one that may be given or is under way until it is
+// surely over; a machine whose order was refused before it was given does not.
+func TestRowTellsForHowLongMachinesRest(t *testing.T) {
+	const term = time.Second
+	now := time.Now()
+	dl := dutyLease{ordered: map[cell.MachineID]*orderedMachine{
+		"announced": {announced: true},
+		"active":    {active: 1, over: now.Add(-time.Minute)},
+		"over":      {over: now.Add(-time.Second)},
+		"long over": {over: now.Add(-dutyQuiet)},
+		"refused":   {},
+	}}
+	got := dl.recent(now, term)
+	want := map[cell.MachineID]time.Duration{"announced": dutyQuiet + term, "active": dutyQuiet + term, "over": dutyQuiet - time.Second}
+	if !maps.Equal(got, want) {
+		t.Fatalf("rests %v, want %v", got, want)
+	}
 }
 
 // dutyRow is the row of the machines' duty.
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -33,14 +33,16 @@
 	Incarnation string     `json:"incarnation,omitempty"`
 	Epoch       job.Epoch  `json:"epoch,omitempty"`
 	Workers     []cell.Ref `json:"workers,omitempty"`
-	// Ordered are the machines for which the holder of their duty has given orders of late, or is about to.
-	Ordered []cell.MachineID `json:"ordered,omitempty"`
+	// Ordered are the machines for which the holder of their duty has given orders of late, or is about to, with for how long from when
+	// the row was written another holder must leave them alone.
+	Ordered map[cell.MachineID]time.Duration `json:"ordered,omitempty"`
 	// Term is for how long after a renewal was sent the holder of the machines' duty may have orders under way.
 	Term time.Duration `json:"term,omitempty"`
 	// Released means that the last owner gave the cell up and has given no lease since.
 	Released bool `json:"released,omitempty"`
-	// version is that of the row.
+	// version is that of the row, seen when it was first seen here.
 	version int64
+	seen    time.Time
 }
 
 // epoch is that of the owner.
@@ -113,7 +115,7 @@
 		fl.opts.Log.Emit(event.ControlRowRejected, zap.String("cell", rw.Part))
 		return
 	}
-	or.version = rw.Version
+	or.version, or.seen = rw.Version, fl.opts.Now()
 	fl.members.mu.Lock()
 	if old, ok := fl.members.owners[rw.Part]; !ok || old.version < or.version {
 		fl.members.owners[rw.Part], fl.members.ownedAt[rw.Part] = or, fl.opts.Now()
