The lease's end follows the shortest term that the others may see; times of the store are on the steady clock

(1) A renewal with a shorter term than the one before, whose answer was lost, left the holder its longer right, while the others wait for the shorter one only. Change: the right ends with the term that is about to be told; the times count from an origin on the steady clock. A test for each, failing before (the second by construction: time.Unix has no reading of the steady clock).

--- a/fleet/dutylease.go
+++ b/fleet/dutylease.go
@@ -106,6 +106,10 @@
 		du.lease.of(id).announced = true
 	}
 	term := du.fl.dutyTerm()
+	// From now on the others may see this row, whose term may be shorter than the one before.
+	if end := now.Add(term); end.Before(du.lease.until) {
+		du.lease.until = end
+	}
 	or := ownerRow{Holder: du.fl.opts.Name, Incarnation: du.fl.opts.Incarnation, Epoch: du.row.epoch(), Ordered: du.lease.recent(now, term), Term: term}
 	du.mu.Unlock()
 	raw, err := json.Marshal(or)
--- a/fleet/dutylease_test.go
+++ b/fleet/dutylease_test.go
@@ -154,8 +154,9 @@
 		t.Errorf("the term is %v while a transaction takes %v", slow, fl.link.answer)
 	}
 	now := time.Now()
-	fl.control.since.Store(now.Add(-time.Hour).UnixNano())
-	fl.control.good.Store(now.UnixNano())
+	fl.control.origin = now.Add(-2 * time.Hour)
+	fl.control.since.Store(int64(time.Hour))
+	fl.control.good.Store(int64(2 * time.Hour))
 	for _, tc := range []struct {
 		term, still time.Duration
 		held        bool
@@ -173,6 +174,38 @@
 	}
 }
 
+// TestShorterTermHoldsFromItsFirstTry: its answer may be lost, and the others wait for the shorter one only.
+func TestShorterTermHoldsFromItsFirstTry(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	now := time.Now()
+	fl := New(Options{Name: "one", Address: "127.0.0.1:1", Store: &storeWay{mm: st.mm, refuse: true}, Workers: st.workers, Machines: noMachines{}, Format: plainFormat{}, Now: func() time.Time { return now }})
+	fl.duty.keeper = machine.NewKeeper(now, 0)
+	fl.duty.lease = dutyLease{until: now.Add(dutyTermMost), ordered: map[cell.MachineID]*orderedMachine{}}
+	fl.duty.renewOnce(context.Background(), nil)
+	if left := fl.duty.lease.until.Sub(now); left > dutyTerm {
+		t.Fatalf("orders may be given for %v, the row that was sent says %v", left, dutyTerm)
+	}
+}
+
+// TestTimesOfTheStoreAreOnTheSteadyClock: a jump of the time of day must not make a row look as if it stood still.
+func TestTimesOfTheStoreAreOnTheSteadyClock(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	fl := New(Options{Name: "one", Address: "127.0.0.1:1", Store: &storeWay{mm: st.mm}, Workers: st.workers, Machines: noMachines{}, Format: plainFormat{}})
+	if err := fl.operator.load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	since, until := fl.operator.healthy()
+	for _, at := range []time.Time{since, until} {
+		// Round strips the reading of the steady clock.
+		if at == at.Round(0) {
+			t.Errorf("%v has no reading of the steady clock", at)
+		}
+		if age := time.Since(at); age < 0 || age > longWait {
+			t.Errorf("the store was heard of %v ago", age)
+		}
+	}
+}
+
 // TestLateClaimDoesNotReplaceAHolderThatRenewed: the claim was decided, or sent, before the renewal.
 func TestLateClaimDoesNotReplaceAHolderThatRenewed(t *testing.T) {
 	st := newSite(t, time.Millisecond)
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -32,6 +32,8 @@
 	feedRetry = 250 * time.Millisecond
 	// readTimeout bounds one read.
 	readTimeout = 1500 * time.Millisecond
+	// longAgo is how long before its start a watch counts as heard of last.
+	longAgo = time.Hour
 	// readLimit is how many rows are read at once.
 	readLimit = 500
 )
@@ -48,13 +50,16 @@
 	rows    map[Place]Row
 	version int64
 	ready   atomic.Bool
-	// good is when the last call that succeeded was sent, since is when the calls began to succeed, in nanoseconds of the process's clock.
+	// origin is the time from which good and since count, on the steady clock: the time of day may jump.
+	origin time.Time
+	// good is when the last call that succeeded was sent, since is when the calls began to succeed; 0 for never.
 	good, since atomic.Int64
 	failing     bool
 }
 
 func newWatch(fl *Fleet, table string, gap func() time.Duration, wait time.Duration, changed func([]Row, time.Time)) *watch {
-	return &watch{fl: fl, table: table, gap: gap, wait: wait, changed: changed, rows: map[Place]Row{}}
+	origin := fl.opts.Now().Add(-longAgo)
+	return &watch{fl: fl, table: table, gap: gap, wait: wait, changed: changed, rows: map[Place]Row{}, origin: origin}
 }
 
 // fixed is a gap that does not change.
@@ -81,7 +86,7 @@
 
 // healthy returns since when, and until when, the store has answered.
 func (wt *watch) healthy() (since, until time.Time) {
-	return time.Unix(0, wt.since.Load()), time.Unix(0, wt.good.Load())
+	return wt.origin.Add(time.Duration(wt.since.Load())), wt.origin.Add(time.Duration(wt.good.Load()))
 }
 
 // run follows the table until the context ends.
@@ -129,9 +134,9 @@
 // succeeded notes a call that was answered.
 func (wt *watch) succeeded(asked time.Time) {
 	if wt.since.Load() == 0 {
-		wt.since.Store(asked.UnixNano())
+		wt.since.Store(int64(asked.Sub(wt.origin)))
 	}
-	wt.good.Store(asked.UnixNano())
+	wt.good.Store(int64(asked.Sub(wt.origin)))
 }
 
 // follow takes the next changes.
