Only instances that lived of late are asked whether the hall is cut off

Found by reading: rows of instances that were replaced stay, and their silence would, beside an outage of the store, be taken for a cut. A test fails before the change.

--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -61,11 +61,13 @@
 	rc.fl.opts.Log.Emit(kind, zap.Duration("storeSilent", silent))
 }
 
-// elsewhere are some instances of other halls, others each time.
+// elsewhere are some instances of other halls that lived when the store was heard of last, others each time. Rows of instances that are
+// gone for good stay, and their silence tells nothing.
 func (rc *reach) elsewhere() []node {
+	live := rc.fl.alive()
 	var list []node
 	for _, nd := range rc.fl.members.others(rc.fl.opts.Name) {
-		if nd.Hall != rc.fl.opts.Hall {
+		if _, lives := live[nd.Name]; lives && !nd.Leaving && nd.Hall != rc.fl.opts.Hall {
 			list = append(list, nd)
 		}
 	}
--- a/fleet/reach_test.go
+++ b/fleet/reach_test.go
@@ -62,3 +62,24 @@
 		t.Error("an outage of the store was taken for a cut")
 	}
 }
+
+// TestInstancesThatAreGoneTellNothing: the rows of replaced instances stay; only those that lived of late are asked.
+func TestInstancesThatAreGoneTellNothing(t *testing.T) {
+	st, here, _, _ := cutSite(t)
+	here.members.mu.Lock()
+	for _, name := range []string{"gone1", "gone2", "gone3", "gone4"} {
+		here.members.nodes[name] = node{Name: name, Address: "127.0.0.1:1", Hall: "b"}
+	}
+	here.members.nodes["leaves"] = node{Name: "leaves", Address: "127.0.0.1:1", Hall: "b", Leaving: true}
+	here.members.seen["leaves"] = time.Now().Add(longWait)
+	here.members.mu.Unlock()
+	st.eventually("the gone are told from the living", func() bool { return len(here.alive()) == 4 })
+	rc := &reach{fl: here.Fleet}
+	for range 10 {
+		for _, nd := range rc.elsewhere() {
+			if nd.Name != "far" {
+				t.Fatalf("%s is asked", nd.Name)
+			}
+		}
+	}
+}
