--- a/fleet/control.go
+++ b/fleet/control.go
@@ -93,7 +93,7 @@
 		}
 		return
 	}
-	if fl.held(name, or, live) {
+	if fl.ownerLives(name, or, live) {
 		fl.members.mu.Lock()
 		delete(fl.members.vacant, name)
 		fl.members.mu.Unlock()
@@ -112,8 +112,8 @@
 	fl.claim(ctx, name, or)
 }
 
-// held reports whether a cell has an owner that lives. The holder of the machines' duty is told by its lease alone.
-func (fl *Fleet) held(name string, or ownerRow, live map[string]node) bool {
+// ownerLives reports whether a cell has an owner that lives. The holder of the machines' duty is told by its lease alone.
+func (fl *Fleet) ownerLives(name string, or ownerRow, live map[string]node) bool {
 	if or.Holder == "" {
 		return false
 	}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -174,7 +174,7 @@
 // alive lists the entry instances whose rows move, as far as the store has been answering.
 func (fl *Fleet) alive() map[string]node {
 	since, until := fl.control.healthy()
-	most := fl.patienceWithPeers()
+	most := fl.deadSpan()
 	mb := fl.members
 	mb.mu.RLock()
 	defer mb.mu.RUnlock()
@@ -187,8 +187,8 @@
 	return live
 }
 
-// patienceWithPeers is how long the row of an entry instance may stand still before it counts as dead.
-func (fl *Fleet) patienceWithPeers() time.Duration {
+// deadSpan is how long the row of an entry instance may stand still before it counts as dead.
+func (fl *Fleet) deadSpan() time.Duration {
 	return min(deadAfter, deadLeast+deadPaces*fl.link.usual())
 }
 
