Tests of the duty's lease split by matter; a test fails with its message instead of hanging

Without its mechanism TestNothingIsWrittenAfterTheDeadline hung until the time limit, since nobody read; the other side reads now.

--- /dev/null
+++ b/fleet/watch_test.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// TestTimesOfTheStoreAreOnTheSteadyClock: a jump of the time of day must not make a row look as if it stood still.
+func TestTimesOfTheStoreAreOnTheSteadyClock(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	fl := New(Options{Name: "one", Address: "127.0.0.1:1", Store: &storeWay{mm: st.mm}, Workers: st.workers, Machines: noMachines{}, Format: plainFormat{}})
+	if err := fl.operator.load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	since, until := fl.operator.healthy()
+	for _, at := range []time.Time{since, until} {
+		// Round strips the reading of the steady clock.
+		if at == at.Round(0) {
+			t.Errorf("%v has no reading of the steady clock", at)
+		}
+		if age := time.Since(at); age < 0 || age > longWait {
+			t.Errorf("the store was heard of %v ago", age)
+		}
+	}
+}
+
+// TestWatchTellsWhatItReadBeforeItCountsAsRead: else a living owner's rows are older than the store's newest answer for a moment.
+func TestWatchTellsWhatItReadBeforeItCountsAsRead(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	fl := New(Options{Name: "one", Address: "127.0.0.1:1", Store: &storeWay{mm: st.mm}, Workers: st.workers, Machines: noMachines{}, Format: plainFormat{}})
+	var wt *watch
+	told := 0
+	wt = newWatch(fl, "registry", fixed(time.Millisecond), time.Millisecond, func(rows []Row, asked time.Time) {
+		told++
+		if _, until := wt.healthy(); !until.Before(asked) {
+			t.Error("the answer counts before its rows are known")
+		}
+	})
+	if err := wt.load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := wt.follow(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if told != 2 {
+		t.Fatalf("told %d times", told)
+	}
+}
--- a/tcp/tcp_test.go
+++ b/tcp/tcp_test.go
@@ -92,12 +92,18 @@
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Millisecond))
 	defer cancel()
 	cn.take(ctx)
+	arrived := make(chan []byte, 1)
+	go func() {
+		// What arrives before the other side closes.
+		raw, _ := io.ReadAll(theirs)
+		arrived <- raw
+	}()
 	if _, err := cn.Write([]byte("order")); !errors.Is(err, ErrLate) {
-		t.Fatalf("error %v, want ErrLate", err)
+		t.Errorf("error %v, want ErrLate", err)
 	}
 	cn.Close()
-	if raw, _ := io.ReadAll(theirs); len(raw) > 0 {
-		t.Fatalf("%q was written", raw)
+	if raw := <-arrived; len(raw) > 0 {
+		t.Errorf("%q was written", raw)
 	}
 }
 
