Sight for the incident: transactions by matter and part, waits of jobs and of an owner's writes

Cause of the change: the logs could not tell how long a transaction took, in which part, how it ended, or how often a job was tried; callers that were told nothing left no line at all. Events 833 to 835, histograms and counters by matter; accepted and refused jobs say how long they waited and how many tries they had. No logic changes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -75,6 +75,9 @@
 	RelayLost            = Kind{830, "peer that carries out orders failed", zapcore.WarnLevel, "Nothing if it passes; its workers are called through another peer, or directly."}
 	HallCutOff           = Kind{831, "neither the store nor another hall answers", zapcore.WarnLevel, "The platform sends callers to other halls; look at the hall's network."}
 	HallReached          = Kind{832, "the store or another hall answers again", zapcore.InfoLevel, "Nothing."}
+	StoreSlow            = Kind{833, "transaction took long or failed", zapcore.InfoLevel, "Look at which matter and part it is: slow in all parts is the store, slow in one is a queue of transactions before it."}
+	JobUnsure            = Kind{834, "caller was told that it is not known whether the job was accepted", zapcore.WarnLevel, "The fields waited and tries say for how long it was tried; the caller asks again."}
+	WriteWaited          = Kind{835, "write of a cell's owner waited", zapcore.InfoLevel, "Nothing if it passes; ends and new workers of the cell wait as long."}
 	JobKnown             = Kind{829, "job was accepted before", zapcore.InfoLevel, "Nothing; the caller's second try is the same job."}
 )
 
@@ -91,4 +94,5 @@
 	CellClaimed, CellLoaded, CellLost, CellReleased, ClaimFailed, ReleaseFailed, SaveFailed, CellDecided,
 	JobAccepted, JobRefused, JobCancelled, AdviceFailed, PeerSilent, CarryRejected,
 	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown, RelayLost, HallCutOff, HallReached,
+	StoreSlow, JobUnsure, WriteWaited,
 }
--- a/fleet/figures.go
+++ b/fleet/figures.go
@@ -16,6 +16,63 @@
 	accepted, refused, unknown                metrics.Counter
 	accept                                    metrics.Histogram
 	outcomes                                  map[cell.Outcome]metrics.Counter
+	// commits are how long transactions took, in microseconds, and unanswered how many were not answered, by matter.
+	commits    map[matter]metrics.Histogram
+	unanswered map[matter]metrics.Counter
+	// writeWait is how long an owner's writes waited for the one before, in microseconds.
+	writeWait metrics.Histogram
+}
+
+// slowCommit is from when on a transaction is told in the log; one takes some 4 ms on a store that is fast.
+const slowCommit = 100 * time.Millisecond
+
+// matter is what a transaction is for.
+type matter string
+
+const (
+	matterIntake   matter = "intake"
+	matterProgress matter = "progress"
+	matterCell     matter = "cell"
+	matterBeat     matter = "beat"
+	matterMachines matter = "machines"
+	matterOther    matter = "other"
+)
+
+var matters = []matter{matterIntake, matterProgress, matterCell, matterBeat, matterMachines, matterOther}
+
+// matterOf tells what a transaction is for, and in which part.
+func matterOf(tx Tx) (matter, string) {
+	if len(tx.Write) == 0 {
+		return matterOther, ""
+	}
+	first := tx.Write[0]
+	switch {
+	case first.Table == tableHome:
+		return matterIntake, first.Part
+	case first.Table == tableProgress:
+		return matterProgress, first.Part
+	case first.Table != tableControl:
+		return matterOther, first.Part
+	case first.Part == machinesCell:
+		return matterMachines, first.Part
+	case first.Key == ownerKey:
+		return matterCell, first.Part
+	}
+	return matterBeat, first.Part
+}
+
+// tell counts a transaction, and writes down one that took long or failed.
+func (ln *link) tell(tx Tx, span time.Duration, err error) {
+	mt, part := matterOf(tx)
+	ln.fig.commits[mt].Update(span.Microseconds())
+	word := wordOf(err)
+	if word == wordSilent {
+		ln.fig.unanswered[mt].Inc(1)
+	}
+	if span < slowCommit && (word == wordDone || word == wordConflict) {
+		return
+	}
+	ln.log.Emit(event.StoreSlow, zap.String("matter", string(mt)), zap.String("part", part), zap.Int("rows", len(tx.Write)), zap.Duration("took", span), zap.String("outcome", word))
 }
 
 // histogramSize is how many of the newest values a histogram is made from.
@@ -23,11 +80,19 @@
 
 func newFigures(rg metrics.Registry) figures {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, rg) }
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram(name, rg, metrics.NewUniformSample(histogramSize))
+	}
 	fg := figures{
 		claims: counter("cells.claimed"), looks: counter("workers.looks"), starts: counter("workers.starts"), saves: counter("store.saves"), storeFailed: counter("store.failed"),
 		accepted: counter("jobs.accepted"), refused: counter("jobs.refused"), unknown: counter("jobs.unknown"),
-		accept:   metrics.GetOrRegisterHistogram("jobs.acceptMicros", rg, metrics.NewUniformSample(histogramSize)),
-		outcomes: map[cell.Outcome]metrics.Counter{},
+		accept:   histogram("jobs.acceptMicros"),
+		outcomes: map[cell.Outcome]metrics.Counter{}, commits: map[matter]metrics.Histogram{}, unanswered: map[matter]metrics.Counter{},
+		writeWait: histogram("owner.writeWaitMicros"),
+	}
+	for _, mt := range matters {
+		fg.commits[mt] = histogram("store.commitMicros." + string(mt))
+		fg.unanswered[mt] = counter("store.unanswered." + string(mt))
 	}
 	for oc := cell.Silent; oc <= cell.Dead; oc++ {
 		fg.outcomes[oc] = counter("workers.orders." + oc.String())
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -67,6 +67,13 @@
 	// unsure is set once a try had no answer: from then on only the store can say that it was not taken.
 	unsure  bool
 	started time.Time
+	// tries counts the transactions that it was in.
+	tries int
+}
+
+// story is what the log tells of the way of a job until its verdict.
+func (hd *handed) story(now time.Time) []zap.Field {
+	return []zap.Field{zap.Duration("waited", now.Sub(hd.started)), zap.Int("tries", hd.tries)}
 }
 
 // intake accepts the jobs of one part. The first goes at once; those that come while a transaction is on its way share the next.
@@ -105,7 +112,11 @@
 		return Refused, comeBack
 	}
 	vd := <-hd.verdict
-	fl.fig.handed(vd, fl.opts.Now().Sub(hd.started))
+	now := fl.opts.Now()
+	fl.fig.handed(vd, now.Sub(hd.started))
+	if vd == Unknown {
+		fl.logJob(event.JobUnsure, sp.ID, hd.story(now)...)
+	}
 	return vd, comeBack
 }
 
@@ -194,7 +205,7 @@
 			continue
 		}
 		in.fl.fig.refused.Inc(1)
-		in.fl.logJob(event.JobRefused, hd.spec.ID, zap.String("why", "the store does not take it"))
+		in.fl.logJob(event.JobRefused, hd.spec.ID, append(hd.story(in.fl.opts.Now()), zap.String("why", "the store does not take it"))...)
 		hd.verdict <- Refused
 	}
 	return left
@@ -219,6 +230,7 @@
 func (in *intake) try(ctx context.Context, group []*handed) error {
 	var tx Tx
 	for _, hd := range group {
+		hd.tries++
 		id := string(hd.spec.ID)
 		name := cellName(hd.spec.Pool)
 		raw, err := json.Marshal(home{Cell: name, Queue: hd.spec.Queue})
@@ -241,7 +253,7 @@
 		name := cellName(hd.spec.Pool)
 		in.fl.homes.add(hd.spec.ID, name)
 		byCell[name] = append(byCell[name], hd.raw)
-		in.fl.logJob(event.JobAccepted, hd.spec.ID, zap.String("cell", name), zap.Int64("epoch", int64(hd.spec.Epoch)))
+		in.fl.logJob(event.JobAccepted, hd.spec.ID, append(hd.story(in.fl.opts.Now()), zap.String("cell", name), zap.Int64("epoch", int64(hd.spec.Epoch)))...)
 		hd.verdict <- Accepted
 	}
 	for name, specs := range byCell {
--- a/fleet/link.go
+++ b/fleet/link.go
@@ -113,9 +113,11 @@
 func (ln *link) Commit(ctx context.Context, tx Tx) (int64, error) {
 	asked := ln.now()
 	an, err := ln.call(ctx, carried{Kind: callCommit, Tx: &tx})
+	span := ln.now().Sub(asked)
 	if !errors.Is(err, ErrRefused) {
-		ln.took(ln.now().Sub(asked), !errors.Is(err, ErrSilent))
+		ln.took(span, !errors.Is(err, ErrSilent))
 	}
+	ln.tell(tx, span, err)
 	return an.Version, err
 }
 
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -22,6 +22,8 @@
 	writeRetry = 200 * time.Millisecond
 	// quietFor bounds how long a handover waits for the last progress to be kept.
 	quietFor = 1500 * time.Millisecond
+	// writesMost is how many writes may wait; the core has one save and one naming of workers under way at a time.
+	writesMost = 16
 	// archiveEvery is how often the rows of ended jobs are removed from the table of open ones.
 	archiveEvery = 3 * time.Second
 	// archiveMost is how many jobs are removed at once.
@@ -39,7 +41,7 @@
 	cancel     context.CancelFunc
 	done       chan struct{}
 	signal     chan struct{}
-	writes     chan cell.Order
+	writes     chan queuedWrite
 	jobs       *watch
 	mu         sync.Mutex // guards what follows
 	core       *cell.Core
@@ -62,7 +64,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	ow := &owner{
 		fl: fl, name: name, epoch: row.epoch(), cancel: cancel, done: make(chan struct{}), signal: make(chan struct{}, 1),
-		writes: make(chan cell.Order, 16), progress: map[job.ID]Row{}, lanes: map[cell.WorkerID]*lane{},
+		writes: make(chan queuedWrite, writesMost), progress: map[job.ID]Row{}, lanes: map[cell.WorkerID]*lane{},
 		since: fl.opts.Now(), named: row.Workers,
 	}
 	ow.relays = newRelays(ow)
@@ -240,7 +242,7 @@
 		ow.command(ctx, order.Worker, order)
 	case cell.Save, cell.Enlist:
 		select {
-		case ow.writes <- od:
+		case ow.writes <- queuedWrite{od, ow.fl.opts.Now()}:
 		case <-ctx.Done():
 		}
 	case cell.Advise:
--- a/fleet/save.go
+++ b/fleet/save.go
@@ -13,14 +13,21 @@
 	"go.uber.org/zap"
 )
 
+// queuedWrite is a write that waits for the one before.
+type queuedWrite struct {
+	order cell.Order
+	since time.Time
+}
+
 // write carries out the owner's writes to the store, one at a time.
 func (ow *owner) write(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case od := <-ow.writes:
-			switch order := od.(type) {
+		case qw := <-ow.writes:
+			ow.waited(qw)
+			switch order := qw.order.(type) {
 			case cell.Save:
 				ow.save(ctx, order)
 			case cell.Enlist:
@@ -30,6 +37,17 @@
 	}
 }
 
+// waited notes how long a write waited for the one before.
+func (ow *owner) waited(qw queuedWrite) {
+	span := ow.fl.opts.Now().Sub(qw.since)
+	ow.fl.fig.writeWait.Update(span.Microseconds())
+	if span < slowCommit {
+		return
+	}
+	_, saves := qw.order.(cell.Save)
+	ow.fl.opts.Log.Emit(event.WriteWaited, zap.String("cell", ow.name), zap.Bool("progress", saves), zap.Duration("waited", span))
+}
+
 // save keeps progress rows. It is tried until the store says how it ended, since a try without an answer may still be carried out.
 func (ow *owner) save(ctx context.Context, sv cell.Save) {
 	tx, err := ow.saveTx(sv)
