Jobs are spread over 64 parts of the store, so that a slow store goes on accepting

Jobs of all instances shared 4 parts, each instance with one transaction under way in each: 132 wait for 20 turns a second, every one for longer than the second after which the store refuses, and what is given up takes its turn all the same. Ruled out: the store as a whole (beats and the owners' progress, which have parts to themselves, took 0.45 s in the same seconds), owners' writes, lost ownership. Weighed: one instance that writes a part's jobs for all (a hop and a failure more for each job), fewer transactions under way for each instance (its jobs lie in all parts). Change: 64 parts. A table of many parts is read twelve parts at a time; ended jobs are taken out of the table of open ones by one transaction over several parts, and not at all while the store is slow.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,10 +4,12 @@
 import (
 	"context"
 	"hash/fnv"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/aspenseam/aspenseam/cell"
 	"github.com/aspenseam/aspenseam/event"
 	"github.com/aspenseam/aspenseam/job"
@@ -31,8 +33,10 @@
 
 // Shares of the store.
 const (
-	// homeParts spreads jobs over parts, since each part takes its transactions in turn.
-	homeParts = 4
+	// homeParts spreads jobs over parts, since each part takes its transactions in turn: some 300 a second, and fewer by as much as a store
+	// is slow. Jobs of all instances share the parts, so that a second try finds the first wherever it comes; with this many a store that is
+	// sixty times slower still takes 320 jobs a second.
+	homeParts = 64
 	// jobTables bounds the number of tables however many cells there are.
 	jobTables = 16
 )
@@ -82,6 +86,8 @@
 	duty     *duty
 	reach    *reach
 	relay    *relay
+	// readers read the parts of tables.
+	readers pond.Pool
 	// errands numbers the orders that peers are given.
 	errands atomic.Uint64
 	// background ends when the process does.
@@ -107,7 +113,7 @@
 	if options.Incarnation == "" {
 		options.Incarnation = table.NewID()
 	}
-	fl := &Fleet{background: context.Background(), opts: options, owners: map[string]*owner{}, claiming: map[string]bool{}, roster: newRoster()}
+	fl := &Fleet{background: context.Background(), opts: options, owners: map[string]*owner{}, claiming: map[string]bool{}, roster: newRoster(), readers: pond.NewPool(readAtOnce)}
 	fl.fig = newFigures(options.Registry)
 	fl.peers = newPeers(fl)
 	fl.link = newLink(options.Store, fl.peers, options.Log, options.Now, fl.fig)
@@ -228,7 +234,7 @@
 // homePart is the part in which a job's rows lie: the same for every try at every entry instance.
 func homePart(id job.ID) int { return int(hash(string(id)) % homeParts) }
 
-func partName(part int) string { return "p" + string(rune('0'+part)) }
+func partName(part int) string { return "p" + strconv.Itoa(part) }
 
 // jobTable is the table of a cell's open jobs.
 func jobTable(name string) string {
--- a/fleet/save.go
+++ b/fleet/save.go
@@ -140,47 +140,38 @@
 	return version
 }
 
-// archive takes the rows of ended jobs out of the table of open jobs.
+// archive takes the rows of ended jobs out of the table of open jobs. Nothing waits for it, so it rests while the store is slow.
 func (ow *owner) archive(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, archiveEvery)
-		ow.sweep(ctx)
-		ow.mu.Lock()
-		ids := ow.core.Archivable(archiveMost)
-		ow.mu.Unlock()
-		byPart := map[int][]job.ID{}
-		for _, id := range ids {
-			byPart[homePart(id)] = append(byPart[homePart(id)], id)
-		}
-		for part, list := range byPart {
-			ow.archivePart(ctx, partName(part), list)
+		if ow.fl.link.usual() > slowCommit {
+			continue
 		}
+		ow.sweep(ctx)
+		ow.archiveEnded(ctx)
 	}
 }
 
 // sweep removes what is kept of jobs whose retention is over: first that they exist, then how they ended.
 func (ow *owner) sweep(ctx context.Context) {
 	ids := ow.expired()
-	byPart := map[int][]job.ID{}
+	if len(ids) == 0 {
+		return
+	}
+	var homes, ends Tx
 	for _, id := range ids {
-		byPart[homePart(id)] = append(byPart[homePart(id)], id)
+		homes.Remove = append(homes.Remove, Place{tableHome, partName(homePart(id)), string(id)})
+		ends.Remove = append(ends.Remove, Place{tableProgress, ow.name, string(id)})
 	}
-	for part, list := range byPart {
-		var homes, ends Tx
-		for _, id := range list {
-			homes.Remove = append(homes.Remove, Place{tableHome, partName(part), string(id)})
-			ends.Remove = append(ends.Remove, Place{tableProgress, ow.name, string(id)})
-		}
-		if !ow.try(ctx, homes) || !ow.try(ctx, ends) {
-			// What is left is removed in a later round.
-			continue
-		}
-		ow.mu.Lock()
-		ow.core.Forget(list)
-		for _, id := range list {
-			delete(ow.progress, id)
-		}
-		ow.mu.Unlock()
+	if !ow.try(ctx, homes) || !ow.try(ctx, ends) {
+		// What is left is removed in a later round.
+		return
+	}
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.core.Forget(ids)
+	for _, id := range ids {
+		delete(ow.progress, id)
 	}
 }
 
@@ -210,9 +201,17 @@
 	return err == nil
 }
 
-func (ow *owner) archivePart(ctx context.Context, part string, list []job.ID) {
+// archiveEnded makes one round of archive.
+func (ow *owner) archiveEnded(ctx context.Context) {
+	ow.mu.Lock()
+	ids := ow.core.Archivable(archiveMost)
+	ow.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
 	var tx Tx
-	for _, id := range list {
+	for _, id := range ids {
+		part := partName(homePart(id))
 		tx.Remove = append(tx.Remove, Place{jobTable(ow.name), part, string(id)}, Place{jobTable(ow.name), part, string(id) + cancelSuffix})
 	}
 	if !ow.try(ctx, tx) {
@@ -220,6 +219,6 @@
 		return
 	}
 	ow.mu.Lock()
-	ow.core.Archived(list)
-	ow.mu.Unlock()
+	defer ow.mu.Unlock()
+	ow.core.Archived(ids)
 }
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -32,7 +32,7 @@
 	Version int64 `json:"version"`
 }
 
-// Tx changes rows of one part, all or none.
+// Tx changes rows, all or none. Rows of several parts take twice as long, and a turn in each of the parts.
 type Tx struct {
 	Expect []Expect `json:"expect,omitempty"`
 	Write  []Row    `json:"write,omitempty"`
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,8 @@
 	longAgo = time.Hour
 	// readLimit is how many rows are read at once.
 	readLimit = 500
+	// readAtOnce is how many parts are read at once, so that a table of many parts is read soon though the store is slow.
+	readAtOnce = 12
 )
 
 // watch follows one table: it reads it whole, then takes its changes.
@@ -212,17 +215,24 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	for _, part := range parts {
-		if part == "" {
-			continue
-		}
-		found, _, err := fl.readPart(ctx, table, part)
-		if err != nil {
-			return nil, 0, err
-		}
-		rows = append(rows, found...)
+	found, err := fl.readParts(ctx, table, slices.DeleteFunc(parts, func(part string) bool { return part == "" }))
+	return append(rows, found...), version, err
+}
+
+// readParts reads some parts of a table, several at once.
+func (fl *Fleet) readParts(ctx context.Context, table string, parts []string) ([]Row, error) {
+	found := make([][]Row, len(parts))
+	gr := fl.readers.NewGroupContext(ctx)
+	for at, part := range parts {
+		gr.SubmitErr(func() (err error) {
+			found[at], _, err = fl.readPart(ctx, table, part)
+			return err
+		})
+	}
+	if err := gr.Wait(); err != nil {
+		return nil, err
 	}
-	return rows, version, nil
+	return slices.Concat(found...), nil
 }
 
 // readPart reads all rows of a part, and the version as of which its first page was read.
