Callers of jobs are answered when their time is over, though a try is under way

Cause: a try is waited for up to 1.6 s, and the callers' deadlines were looked at between tries only. Ruled out: breaking the try off at the first caller's deadline, which would put the others of its group in doubt as well. Change: the caller's deadline ends its wait. It is told 'not taken' only if no transaction has taken its job, and then none will.

--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/aspenseam/aspenseam/event"
@@ -68,12 +70,48 @@
 	unsure  bool
 	started time.Time
 	// tries counts the transactions that it was in.
-	tries int
+	tries atomic.Int32
+	// hold tells whether a transaction may take it.
+	hold atomic.Int32
 }
 
+// What transactions have to do with a job that is handed in.
+const (
+	// holdNone means that none has taken it, nor will unless it is tried.
+	holdNone = iota
+	// holdDoubt means that one is under way, or ended without an answer.
+	holdDoubt
+	// holdWithdrawn means that its caller was told that it was not taken, so none may hold it any more.
+	holdWithdrawn
+)
+
 // story is what the log tells of the way of a job until its verdict.
 func (hd *handed) story(now time.Time) []zap.Field {
-	return []zap.Field{zap.Duration("waited", now.Sub(hd.started)), zap.Int("tries", hd.tries)}
+	return []zap.Field{zap.Duration("waited", now.Sub(hd.started)), zap.Int32("tries", hd.tries.Load())}
+}
+
+// tried counts one more transaction, and reports whether the job may be in it.
+func (hd *handed) tried() bool {
+	if !hd.unsure && !hd.hold.CompareAndSwap(holdNone, holdDoubt) {
+		return false
+	}
+	hd.tries.Add(1)
+	return true
+}
+
+// untaken notes that the transaction that held the job did nothing.
+func (hd *handed) untaken() {
+	if !hd.unsure {
+		hd.hold.Store(holdNone)
+	}
+}
+
+// giveUp is the verdict of a caller whose time is over: refused only if no transaction has taken the job, and none will.
+func (hd *handed) giveUp() Verdict {
+	if hd.hold.CompareAndSwap(holdNone, holdWithdrawn) {
+		return Refused
+	}
+	return Unknown
 }
 
 // intake accepts the jobs of one part. The first goes at once; those that come while a transaction is on its way share the next.
@@ -111,7 +149,13 @@
 		fl.fig.refused.Inc(1)
 		return Refused, comeBack
 	}
-	vd := <-hd.verdict
+	var vd Verdict
+	select {
+	case vd = <-hd.verdict:
+	case <-ctx.Done():
+		// A try may be under way for longer than the caller waits.
+		vd = hd.giveUp()
+	}
 	now := fl.opts.Now()
 	fl.fig.handed(vd, now.Sub(hd.started))
 	if vd == Unknown {
@@ -153,6 +197,10 @@
 	}
 	group := waiting[:min(len(waiting), intakeGroup)]
 	rest := waiting[len(group):]
+	group = slices.DeleteFunc(slices.Clone(group), func(hd *handed) bool { return !hd.tried() })
+	if len(group) == 0 {
+		return rest
+	}
 	err := in.try(ctx, group)
 	var cf *Conflict
 	switch {
@@ -161,7 +209,9 @@
 		return rest
 	case errors.As(err, &cf):
 		group = in.known(group, cf)
+		untaken(group)
 	case errors.Is(err, ErrRefused):
+		untaken(group)
 		group = in.refuse(group)
 		rest = in.refuse(rest)
 		sleep(ctx, intakeRetry)
@@ -175,6 +225,12 @@
 	return append(group, rest...)
 }
 
+func untaken(group []*handed) {
+	for _, hd := range group {
+		hd.untaken()
+	}
+}
+
 // expire answers the callers whose time is over, and all of them once this instance is cut off.
 func (in *intake) expire(waiting []*handed) []*handed {
 	var left []*handed
@@ -230,7 +286,6 @@
 func (in *intake) try(ctx context.Context, group []*handed) error {
 	var tx Tx
 	for _, hd := range group {
-		hd.tries++
 		id := string(hd.spec.ID)
 		name := cellName(hd.spec.Pool)
 		raw, err := json.Marshal(home{Cell: name, Queue: hd.spec.Queue})
--- a/fleet/turns_test.go
+++ b/fleet/turns_test.go
@@ -140,6 +140,8 @@
 	verdicts map[Verdict]int
 	// late counts the callers that had no answer when their time was over.
 	late int
+	// refused are the jobs whose callers were told that they were not taken.
+	refused []job.ID
 }
 
 // callerTime is how long a caller waits for an answer.
@@ -161,6 +163,9 @@
 			mu.Lock()
 			defer mu.Unlock()
 			res.verdicts[vd]++
+			if vd == Refused {
+				res.refused = append(res.refused, id)
+			}
 			if time.Since(began) > callerTime {
 				res.late++
 			}
@@ -171,6 +176,38 @@
 	return res
 }
 
+// checkRefused checks that no job is kept whose caller was told that it was not taken, whatever is still on its way to the store.
+func (fl intakeFleet) checkRefused(t *testing.T, res handedIn) {
+	t.Helper()
+	time.Sleep(time.Minute)
+	for _, id := range res.refused {
+		if rw := fl.store.mm.rows[Place{tableHome, partName(homePart(id)), string(id)}]; rw.Version != 0 {
+			t.Errorf("job %s was refused and is kept", id)
+		}
+	}
+}
+
+// TestCallersAreAnsweredInTime: the store is so slow that a transaction takes longer than a caller waits. Callers are told so when their
+// time is over at the latest, and those who are told that their job was not taken are told the truth.
+func TestCallersAreAnsweredInTime(t *testing.T) {
+	for _, times := range []int{150, 400, 1000} {
+		t.Run(fmt.Sprintf("%d times slower", times), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				fl := startIntake(ctx, newTurnStore(times), 6)
+				res := fl.handIn(2, 100, 4*time.Second)
+				t.Logf("accepted %d, refused %d, unknown %d, late %d; %d transactions", res.verdicts[Accepted], res.verdicts[Refused], res.verdicts[Unknown], res.late, fl.store.commits)
+				if res.late > 0 {
+					t.Errorf("%d callers were answered when their time was over", res.late)
+				}
+				fl.checkRefused(t, res)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // TestSlowStoreAcceptsFromManyInstances: each answer of the store takes sixty times as long as usual, none is lost. Jobs come at many
 // instances, and what the store could take in turn is enough for all of them.
 func TestSlowStoreAcceptsFromManyInstances(t *testing.T) {
@@ -187,6 +224,7 @@
 				if res.late > 0 {
 					t.Errorf("%d callers were answered when their time was over", res.late)
 				}
+				fl.checkRefused(t, res)
 				cancel()
 				synctest.Wait()
 			})
