Rows of waves are written with the lease's renewals, empty workers are told together

Wanted machines, the course of waves and the duty's lease lie in one part; each row was a transaction of its own, as was each worker that an owner told to be empty, and that one in the loop that also looks for cells without owner. A wave of 70 machines on a store that is sixty times slower is 140 turns of 0.2 s. Ruled out: a part for the wanted machines, since they need the condition of the duty's row (a transaction over two parts takes two turns). Change: rows of the duty wait for the next renewal, which they hurry, 60 at most in each; workers that are empty are told 45 at a time, in a goroutine of its own; rows that turn out otherwise than known do not hold up the others.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -65,7 +65,6 @@
 	for ctx.Err() == nil {
 		sleep(ctx, ownEvery)
 		fl.dropLost()
-		fl.tellClear(ctx)
 		if !fl.control.loaded() || fl.stopping.Load() || fl.config.Load() == nil || !fl.registry.loaded() {
 			continue
 		}
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -61,10 +61,13 @@
 	row   ownerRow
 	lease dutyLease
 	token cell.Token
+	// rows wait for a renewal to write them; hurry tells that there are new ones.
+	rows  []*dutyRow
+	hurry chan struct{}
 }
 
 func newDuty(fl *Fleet) *duty {
-	return &duty{fl: fl, waves: map[int]machine.Wave{}, records: map[int]waveRecord{}}
+	return &duty{fl: fl, waves: map[int]machine.Wave{}, records: map[int]waveRecord{}, hurry: make(chan struct{}, 1)}
 }
 
 // takeWave takes a wave that the operator has asked for.
@@ -102,6 +105,8 @@
 	du.keeper, du.cancel, du.row = machine.NewKeeper(fl.opts.Now(), dutyQuiet), cancel, row
 	du.sizer, du.before = machine.NewSizer(fl.opts.Sizes), before
 	du.token = cell.Token(row.epoch()) << tokenShift
+	// What an earlier tenure did not get written is decided anew.
+	du.rows = nil
 	// What the one before it rested from, a holder after this one has to as well.
 	du.lease = dutyLease{version: row.version, ordered: map[cell.MachineID]*orderedMachine{}}
 	for id, left := range before.Ordered {
@@ -191,13 +196,13 @@
 	switch order := od.(type) {
 	case machine.Want:
 		du.fl.opts.Log.Emit(event.MachineWanted, zap.String("machine", string(order.Machine)), zap.String("worker", string(order.Worker)), zap.Int("wave", order.Wave))
-		du.write(ctx, Row{Table: tableControl, Part: machinesCell, Key: drainPrefix + string(order.Machine)}, drainRow{Machine: order.Machine, Worker: order.Worker, Pool: order.Pool, Wave: order.Wave})
+		du.keep(drainPrefix+string(order.Machine), drainRow{Machine: order.Machine, Worker: order.Worker, Pool: order.Pool, Wave: order.Wave})
 	case machine.Service:
 		du.begin(func() { du.service(ctx, order) })
 	case machine.Release:
-		du.commit(ctx, Tx{Remove: []Place{{tableControl, machinesCell, drainPrefix + string(order.Machine)}}})
+		du.drop(drainPrefix + string(order.Machine))
 	case machine.Record:
-		du.record(ctx, order.Wave, waveRecord{Done: order.Done})
+		du.record(order.Wave, waveRecord{Done: order.Done})
 	case machine.Report:
 		du.report(ctx, order)
 	}
@@ -229,7 +234,7 @@
 	du.begin(func() {
 		du.tellUntil(ctx, tx)
 		if rp.Completed {
-			du.record(ctx, rp.Wave, waveRecord{Finished: true})
+			du.record(rp.Wave, waveRecord{Finished: true})
 		}
 	})
 }
@@ -247,39 +252,7 @@
 	}
 }
 
-func (du *duty) record(ctx context.Context, wave int, rc waveRecord) {
-	du.write(ctx, Row{Table: tableControl, Part: machinesCell, Key: wavePrefix + strconv.Itoa(wave)}, rc)
-}
-
-func (du *duty) write(ctx context.Context, rw Row, value any) {
-	raw, err := json.Marshal(value)
-	if err != nil {
-		du.fl.opts.Log.Emit(event.ControlRowRejected, zap.Error(err))
-		return
-	}
-	rw.Value = raw
-	du.commit(ctx, Tx{Write: []Row{rw}})
-}
-
-// commit tries in the background until the write is done or the duty ends.
-func (du *duty) commit(ctx context.Context, tx Tx) { go du.commitUntil(ctx, tx) }
-
-// commitUntil tries a write under the condition that the duty is still this instance's.
-func (du *duty) commitUntil(ctx context.Context, tx Tx) {
-	for ctx.Err() == nil {
-		tx.Expect = []Expect{{dutyPlace, du.leaseVersion()}}
-		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		_, err := du.fl.link.Commit(callCtx, tx)
-		cancel()
-		if err == nil {
-			return
-		}
-		if cf := conflictOf(err); cf != nil && !du.stillMine(cf) {
-			return
-		}
-		sleep(ctx, writeRetry)
-	}
-}
+func (du *duty) record(wave int, rc waveRecord) { du.keep(wavePrefix+strconv.Itoa(wave), rc) }
 
 // dropLost ends the duty once another holder was met.
 func (du *duty) dropLost() {
--- a/fleet/dutylease.go
+++ b/fleet/dutylease.go
@@ -87,7 +87,7 @@
 		if du.renewOnce(ctx, nil) {
 			pause = dutyRenew
 		}
-		sleep(ctx, pause)
+		du.pause(ctx, pause)
 	}
 }
 
@@ -111,17 +111,19 @@
 		du.lease.until = end
 	}
 	or := ownerRow{Holder: du.fl.opts.Name, Incarnation: du.fl.opts.Incarnation, Epoch: du.row.epoch(), Ordered: du.lease.recent(now, term), Term: term}
-	du.mu.Unlock()
 	raw, err := json.Marshal(or)
+	tx := Tx{Expect: []Expect{{dutyPlace, version}}, Write: []Row{{Table: dutyPlace.Table, Part: dutyPlace.Part, Key: dutyPlace.Key, Value: raw}}}
+	rows := du.rowsFor(&tx)
+	du.mu.Unlock()
 	if err != nil {
 		du.fl.opts.Log.Emit(event.ClaimFailed, zap.String("cell", machinesCell), zap.Error(err))
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, du.fl.link.patience())
 	defer cancel()
-	newest, err := du.fl.link.Commit(callCtx, Tx{Expect: []Expect{{dutyPlace, version}}, Write: []Row{{Table: dutyPlace.Table, Part: dutyPlace.Part, Key: dutyPlace.Key, Value: raw}}})
+	newest, err := du.fl.link.Commit(callCtx, tx)
 	if err == nil {
-		du.renewed(newest, or)
+		du.renewed(newest, or, rows)
 		return true
 	}
 	if cf := conflictOf(err); cf != nil && !du.stillMine(cf) {
@@ -138,9 +140,10 @@
 }
 
 // renewed notes a renewal. The others may have seen the first of its tries, so the time runs from that one.
-func (du *duty) renewed(version int64, or ownerRow) {
+func (du *duty) renewed(version int64, or ownerRow, rows []*dutyRow) {
 	du.mu.Lock()
 	defer du.mu.Unlock()
+	du.kept(rows)
 	du.lease.version, du.lease.until, du.lease.tried = version, du.lease.tried.Add(or.Term), time.Time{}
 	du.lease.named = or.Ordered
 }
--- a/fleet/turns_test.go
+++ b/fleet/turns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,7 +11,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/aspenseam/aspenseam/cell"
 	"github.com/aspenseam/aspenseam/job"
+	"github.com/aspenseam/aspenseam/machine"
 )
 
 // turnStore is a store whose parts take their transactions in turn, as its pages say, on a synthetic clock. A transaction that was given
@@ -59,6 +62,13 @@
 	return begin.Add(turn), true
 }
 
+// count is how many transactions there were.
+func (ts *turnStore) count() int {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return ts.commits
+}
+
 func partsOf(tx Tx) []string {
 	var parts []string
 	for _, rw := range tx.Write {
@@ -181,7 +191,7 @@
 	t.Helper()
 	time.Sleep(time.Minute)
 	for _, id := range res.refused {
-		if rw := fl.store.mm.rows[Place{tableHome, partName(homePart(id)), string(id)}]; rw.Version != 0 {
+		if kept := fl.store.mm.read(Query{Table: tableHome, Part: partName(homePart(id)), From: string(id), To: string(id) + "!"}); len(kept.Rows) > 0 {
 			t.Errorf("job %s was refused and is kept", id)
 		}
 	}
@@ -196,7 +206,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				fl := startIntake(ctx, newTurnStore(times), 6)
 				res := fl.handIn(2, 100, 4*time.Second)
-				t.Logf("accepted %d, refused %d, unknown %d, late %d; %d transactions", res.verdicts[Accepted], res.verdicts[Refused], res.verdicts[Unknown], res.late, fl.store.commits)
+				t.Logf("accepted %d, refused %d, unknown %d, late %d; %d transactions", res.verdicts[Accepted], res.verdicts[Refused], res.verdicts[Unknown], res.late, fl.store.count())
 				if res.late > 0 {
 					t.Errorf("%d callers were answered when their time was over", res.late)
 				}
@@ -217,7 +227,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				fl := startIntake(ctx, newTurnStore(60), count)
 				res := fl.handIn(1, 100, 4*time.Second)
-				t.Logf("accepted %d, refused %d, unknown %d, late %d; %d transactions", res.verdicts[Accepted], res.verdicts[Refused], res.verdicts[Unknown], res.late, fl.store.commits)
+				t.Logf("accepted %d, refused %d, unknown %d, late %d; %d transactions", res.verdicts[Accepted], res.verdicts[Refused], res.verdicts[Unknown], res.late, fl.store.count())
 				if got := res.verdicts[Accepted]; got < 380 {
 					t.Errorf("%d of 400 jobs were accepted", got)
 				}
@@ -231,3 +241,91 @@
 		})
 	}
 }
+
+// TestWaveOnASlowStoreKeepsTheLease: many machines are wanted at once while the store is sixty times slower. Their rows lie in the part of
+// the duty's lease and must not hold up its renewals.
+func TestWaveOnASlowStoreKeepsTheLease(t *testing.T) {
+	const wanted = 70
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		store := newTurnStore(60)
+		fl := New(Options{Name: "one", Store: store, Machines: noMachines{}, Format: plainFormat{}})
+		version, err := store.mm.commit(Tx{Write: []Row{{Table: tableControl, Part: machinesCell, Key: ownerKey, Value: []byte("{}")}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		du := fl.duty
+		du.keeper, du.cancel, du.tasks = machine.NewKeeper(time.Now(), dutyQuiet), func() {}, &sync.WaitGroup{}
+		du.row = ownerRow{Holder: "one", Incarnation: fl.opts.Incarnation, version: version}
+		du.lease = dutyLease{version: version, ordered: map[cell.MachineID]*orderedMachine{}}
+		go du.renew(ctx)
+		time.Sleep(10 * time.Second)
+		for at := range wanted {
+			du.carryOut(ctx, machine.Want{Drain: machine.Drain{Machine: cell.MachineID(fmt.Sprintf("m%d", at)), Pool: "pool"}})
+		}
+		gaps := 0
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if !du.leased(time.Now()) {
+				gaps++
+			}
+		}
+		if gaps > 0 {
+			t.Errorf("the lease was lost at %d of 100 moments", gaps)
+		}
+		if got := len(store.mm.read(Query{Table: tableControl, Part: machinesCell, From: drainPrefix}).Rows) - 1; got != wanted {
+			t.Errorf("%d of %d machines are wanted in the store", got, wanted)
+		}
+		t.Logf("%d transactions", store.count())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestEmptyWorkersAreToldTogether: some dozen workers of a wave are empty at once while the store is sixty times slower; one of them is not
+// wanted any more.
+func TestEmptyWorkersAreToldTogether(t *testing.T) {
+	const wanted = 70
+	synctest.Test(t, func(t *testing.T) {
+		store := newTurnStore(60)
+		fl := New(Options{Name: "one", Store: store, Machines: noMachines{}, Format: plainFormat{}})
+		ids := map[cell.WorkerID]bool{}
+		var rows []Row
+		for at := range wanted {
+			id := fmt.Sprintf("%02d", at)
+			ids[cell.WorkerID("w"+id)] = true
+			rows = append(rows, Row{Table: tableControl, Part: machinesCell, Key: drainPrefix + "m" + id, Value: fmt.Appendf(nil, `{"machine":"m%s","worker":"w%s","pool":"pool"}`, id, id)})
+		}
+		version, err := store.mm.commit(Tx{Write: rows})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, rw := range rows {
+			rw.Version = version
+			fl.members.takeDrain(rw)
+		}
+		if _, err := store.mm.commit(Tx{Remove: []Place{rows[0].Place()}}); err != nil {
+			t.Fatal(err)
+		}
+		ow := &owner{fl: fl, name: "pool", core: cell.New("pool", 1, cell.Options{})}
+		ow.core.Cordon(ids)
+		fl.owners["pool"] = ow
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		fl.tellClears(ctx)
+		clear := 0
+		for _, rw := range store.mm.read(Query{Table: tableControl, Part: machinesCell, From: drainPrefix}).Rows {
+			var dr drainRow
+			if err := json.Unmarshal(rw.Value, &dr); err != nil {
+				t.Error(err)
+			}
+			if dr.Clear {
+				clear++
+			}
+		}
+		if clear != wanted-1 {
+			t.Errorf("%d of %d empty workers are told", clear, wanted-1)
+		}
+		t.Logf("%d transactions", store.count())
+	})
+}
