A cell's owner writes what waits in one transaction and never waits for it

On a store that is sixty times slower ends were kept 1.3 to 2.7 s late, and with 16 writes in the queue the owner stopped deciding (28.9 to 30.2 s). Ruled out: writes side by side, since all need the condition of the cell's row, which the naming changes. Change: one batch waits, with the newest naming, which holds those before, and the progress; one transaction writes both.

--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -22,8 +22,6 @@
 	writeRetry = 200 * time.Millisecond
 	// quietFor bounds how long a handover waits for the last progress to be kept.
 	quietFor = 1500 * time.Millisecond
-	// writesMost is how many writes may wait; the core has one save and one naming of workers under way at a time.
-	writesMost = 16
 	// archiveEvery is how often the rows of ended jobs are removed from the table of open ones.
 	archiveEvery = 3 * time.Second
 	// archiveMost is how many jobs are removed at once.
@@ -41,7 +39,7 @@
 	cancel     context.CancelFunc
 	done       chan struct{}
 	signal     chan struct{}
-	writes     chan queuedWrite
+	writes     *writes
 	jobs       *watch
 	mu         sync.Mutex // guards what follows
 	core       *cell.Core
@@ -59,18 +57,24 @@
 	began bool
 }
 
-// startOwner loads a claimed cell and begins to work on it.
-func (fl *Fleet) startOwner(ctx context.Context, name string, row, before ownerRow, asked time.Time) {
-	ctx, cancel := context.WithCancel(ctx)
+// newOwner returns an owner of a cell that knows nothing of its jobs yet.
+func newOwner(fl *Fleet, name string, row ownerRow, cancel context.CancelFunc) *owner {
 	ow := &owner{
 		fl: fl, name: name, epoch: row.epoch(), cancel: cancel, done: make(chan struct{}), signal: make(chan struct{}, 1),
-		writes: make(chan queuedWrite, writesMost), progress: map[job.ID]Row{}, lanes: map[cell.WorkerID]*lane{},
+		writes: newWrites(), progress: map[job.ID]Row{}, lanes: map[cell.WorkerID]*lane{},
 		since: fl.opts.Now(), named: row.Workers,
 	}
 	ow.relays = newRelays(ow)
 	ow.rowVersion.Store(row.version)
 	ow.core = cell.New(job.PoolID(name), ow.epoch, ow.cellOptions())
 	ow.jobs = newWatch(fl, jobTable(name), fixed(jobsGap), jobsWait, ow.jobsChanged)
+	return ow
+}
+
+// startOwner loads a claimed cell and begins to work on it.
+func (fl *Fleet) startOwner(ctx context.Context, name string, row, before ownerRow, asked time.Time) {
+	ctx, cancel := context.WithCancel(ctx)
+	ow := newOwner(fl, name, row, cancel)
 	claimed := fl.opts.Now()
 	fl.mu.Lock()
 	fl.owners[name] = ow
@@ -241,10 +245,7 @@
 	case cell.Pace:
 		ow.command(ctx, order.Worker, order)
 	case cell.Save, cell.Enlist:
-		select {
-		case ow.writes <- queuedWrite{od, ow.fl.opts.Now()}:
-		case <-ctx.Done():
-		}
+		ow.writes.add(ow.fl.opts.Now(), od)
 	case cell.Advise:
 		go ow.advise(ctx, order)
 	}
--- a/fleet/save.go
+++ b/fleet/save.go
@@ -3,102 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
 	"github.com/aspenseam/aspenseam/cell"
-	"github.com/aspenseam/aspenseam/event"
 	"github.com/aspenseam/aspenseam/job"
-	"go.uber.org/zap"
 )
 
-// queuedWrite is a write that waits for the one before.
-type queuedWrite struct {
-	order cell.Order
-	since time.Time
-}
-
-// write carries out the owner's writes to the store, one at a time.
-func (ow *owner) write(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case qw := <-ow.writes:
-			ow.waited(qw)
-			switch order := qw.order.(type) {
-			case cell.Save:
-				ow.save(ctx, order)
-			case cell.Enlist:
-				ow.enlist(ctx, order)
-			}
-		}
-	}
-}
-
-// waited notes how long a write waited for the one before.
-func (ow *owner) waited(qw queuedWrite) {
-	span := ow.fl.opts.Now().Sub(qw.since)
-	ow.fl.fig.writeWait.Update(span.Microseconds())
-	if span < slowCommit {
-		return
-	}
-	_, saves := qw.order.(cell.Save)
-	ow.fl.opts.Log.Emit(event.WriteWaited, zap.String("cell", ow.name), zap.Bool("progress", saves), zap.Duration("waited", span))
-}
-
-// save keeps progress rows. It is tried until the store says how it ended, since a try without an answer may still be carried out.
-func (ow *owner) save(ctx context.Context, sv cell.Save) {
-	tx, err := ow.saveTx(sv)
-	if err != nil {
-		ow.fl.opts.Log.Emit(event.SaveFailed, zap.String("cell", ow.name), zap.Error(err))
-		return
-	}
-	version, ok := ow.commit(ctx, tx)
-	if !ok {
-		return
-	}
-	ow.fl.fig.saves.Inc(1)
-	ow.post(func(cr *cell.Core, now time.Time) { cr.Saved(now, version) })
-}
-
-func (ow *owner) saveTx(sv cell.Save) (Tx, error) {
-	tx := Tx{Expect: []Expect{{ow.place(), ow.rowVersion.Load()}}}
-	for _, row := range sv.Rows {
-		raw, err := job.EncodeProgress(row.Progress)
-		if err != nil {
-			return Tx{}, err
-		}
-		place := Place{tableProgress, ow.name, string(row.ID)}
-		tx.Expect = append(tx.Expect, Expect{place, row.Version})
-		tx.Write = append(tx.Write, Row{Table: place.Table, Part: place.Part, Key: place.Key, Value: raw})
-	}
-	return tx, nil
-}
-
-func (ow *owner) place() Place { return Place{tableControl, ow.name, ownerKey} }
-
-// enlist names the workers that are used in the cell's row.
-func (ow *owner) enlist(ctx context.Context, en cell.Enlist) {
-	raw, err := json.Marshal(ownerRow{Holder: ow.fl.opts.Name, Incarnation: ow.fl.opts.Incarnation, Epoch: ow.epoch, Workers: en.Workers})
-	if err != nil {
-		ow.fl.opts.Log.Emit(event.SaveFailed, zap.String("cell", ow.name), zap.Error(err))
-		return
-	}
-	place := ow.place()
-	version, ok := ow.commit(ctx, Tx{Expect: []Expect{{place, ow.rowVersion.Load()}}, Write: []Row{{Table: place.Table, Part: place.Part, Key: place.Key, Value: raw}}})
-	if !ok {
-		ow.post(func(cr *cell.Core, _ time.Time) { cr.EnlistFailed() })
-		return
-	}
-	ow.rowVersion.Store(version)
-	ow.post(func(cr *cell.Core, _ time.Time) {
-		cr.Enlisted(en.Workers)
-		cr.EnlistFailed()
-	})
-}
-
 // commit tries a transaction until it is done, or another owner is met.
 func (ow *owner) commit(ctx context.Context, tx Tx) (int64, bool) {
 	for ctx.Err() == nil && !ow.lost.Load() {
--- /dev/null
+++ b/fleet/writes_test.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/aspenseam/aspenseam/cell"
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// TestProgressDoesNotWaitForEachNewWorker: workers come to a cell one after the other while the store is sixty times slower. The owner
+// goes on deciding, and an end is kept, and so can be told, after a transaction or two.
+func TestProgressDoesNotWaitForEachNewWorker(t *testing.T) {
+	const (
+		come   = 60
+		gap    = 50 * time.Millisecond
+		saveAt = 40
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		ow, store := startWriter(ctx, t)
+		var refs []cell.Ref
+		var asked int
+		stalls := 0
+		for at := range come {
+			refs = append(refs, usedBy(cell.WorkerID(fmt.Sprintf("w%d", at)))...)
+			began := time.Now()
+			if at == saveAt {
+				asked = store.count()
+				ow.carryOut(ctx, cell.Save{Rows: []cell.SaveRow{{ID: "a1", Progress: &job.Progress{State: job.Completed}}}})
+			}
+			ow.carryOut(ctx, cell.Enlist{Workers: refs})
+			if time.Since(began) > 0 {
+				stalls++
+			}
+			time.Sleep(gap)
+		}
+		if stalls > 0 {
+			t.Errorf("the owner stood still at %d of %d orders", stalls, come)
+		}
+		kept := 0
+		for kept == 0 && store.count() < asked+come {
+			time.Sleep(gap)
+			if len(store.mm.read(Query{Table: tableProgress, Part: "pool"}).Rows) > 0 {
+				kept = store.count() - asked
+			}
+		}
+		if kept > 3 {
+			t.Errorf("the end was kept after %d transactions", kept)
+		}
+		time.Sleep(time.Minute)
+		if got := len(cellRow(t, store).Workers); got != come {
+			t.Errorf("the cell's row names %d of %d workers", got, come)
+		}
+		t.Logf("%d transactions, the end kept after %d", store.count(), kept)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// startWriter starts what writes for the owner of a cell, over a slow store.
+func startWriter(ctx context.Context, t *testing.T) (*owner, *turnStore) {
+	t.Helper()
+	store := newTurnStore(60)
+	fl := New(Options{Name: "one", Store: store, Machines: noMachines{}, Format: plainFormat{}})
+	version, err := store.mm.commit(Tx{Write: []Row{{Table: tableControl, Part: "pool", Key: ownerKey, Value: []byte("{}")}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ow := newOwner(fl, "pool", ownerRow{version: version}, func() {})
+	go ow.write(ctx)
+	return ow, store
+}
+
+// cellRow is the row of the cell as the store has it.
+func cellRow(t *testing.T, store *turnStore) ownerRow {
+	t.Helper()
+	var or ownerRow
+	rows := store.mm.read(Query{Table: tableControl, Part: "pool"}).Rows
+	if len(rows) != 1 {
+		t.Fatalf("%d rows of the cell", len(rows))
+	}
+	if err := json.Unmarshal(rows[0].Value, &or); err != nil {
+		t.Fatal(err)
+	}
+	return or
+}
