--- a/fleet/dutylease.go
+++ b/fleet/dutylease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/aspenseam/aspenseam/cell"
@@ -23,9 +24,9 @@
 	dutyTerm     = 1100 * time.Millisecond
 	dutyTermMost = 3 * time.Second
 	termPaces    = 4
-	// announceTries is how often machines are announced before the orders for them are dropped: where the first answer is lost, the second
-	// try finds the row written.
-	announceTries = 2
+	// announceTries is how often machines are announced before the orders for them are dropped: where an answer is lost the next try finds the
+	// row written, which may be one that does not name them yet.
+	announceTries = 3
 	// dutyMargin is by how much longer than its term the row must have stood still before another instance takes the duty: what clocks may
 	// differ in rate, and what an order needs on its way.
 	dutyMargin = 300 * time.Millisecond
@@ -238,8 +239,24 @@
 // announce has the duty's row name machines before orders are given for them, so that whoever holds the duty next knows which ones to
 // leave alone for a while. Orders for machines that could not be announced are refused.
 func (du *duty) announce(ctx context.Context, ids []cell.MachineID) {
-	for try := 0; len(ids) > 0 && try < announceTries && !du.renewOnce(ctx, ids); try++ {
+	if len(ids) == 0 {
+		return
 	}
+	for range announceTries {
+		if du.renewOnce(ctx, ids) && du.names(ids) {
+			return
+		}
+	}
+}
+
+// names reports whether the duty's row, as far as is known here, names some machines.
+func (du *duty) names(ids []cell.MachineID) bool {
+	du.mu.Lock()
+	defer du.mu.Unlock()
+	return !slices.ContainsFunc(ids, func(id cell.MachineID) bool {
+		_, named := du.lease.named[id]
+		return !named
+	})
 }
 
 // resting reports whether the holder before may have given an order for a machine so lately that this one waits. The caller holds the lock.
--- a/fleet/dutylease_test.go
+++ b/fleet/dutylease_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
@@ -322,3 +323,27 @@
 		t.Fatalf("the operator reads %q", word)
 	}
 }
+
+// TestAnnouncementWhoseAnswerIsLostIsRepeated: the row names the machines, and the orders for them are given in the same round.
+func TestAnnouncementWhoseAnswerIsLostIsRepeated(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	lost := 0
+	one := st.start("one", func(sw *storeWay) {
+		sw.lose = func(tx Tx) bool {
+			names := len(tx.Write) > 0 && tx.Write[0].Part == machinesCell && bytes.Contains(tx.Write[0].Value, []byte("m1"))
+			if names && lost == 0 {
+				lost++
+				return true
+			}
+			return false
+		}
+	})
+	st.holder(one)
+	one.duty.announce(context.Background(), []cell.MachineID{"m1"})
+	if lost != 1 {
+		t.Fatalf("%d answers were lost", lost)
+	}
+	if !one.duty.names([]cell.MachineID{"m1"}) {
+		t.Fatal("the machine is not named after its announcement was lost")
+	}
+}
--- a/fleet/figures.go
+++ b/fleet/figures.go
@@ -23,58 +23,6 @@
 	writeWait metrics.Histogram
 }
 
-// slowCommit is from when on a transaction is told in the log; one takes some 4 ms on a store that is fast.
-const slowCommit = 100 * time.Millisecond
-
-// matter is what a transaction is for.
-type matter string
-
-const (
-	matterIntake   matter = "intake"
-	matterProgress matter = "progress"
-	matterCell     matter = "cell"
-	matterBeat     matter = "beat"
-	matterMachines matter = "machines"
-	matterOther    matter = "other"
-)
-
-var matters = []matter{matterIntake, matterProgress, matterCell, matterBeat, matterMachines, matterOther}
-
-// matterOf tells what a transaction is for, and in which part.
-func matterOf(tx Tx) (matter, string) {
-	if len(tx.Write) == 0 {
-		return matterOther, ""
-	}
-	first := tx.Write[0]
-	switch {
-	case first.Table == tableHome:
-		return matterIntake, first.Part
-	case first.Table == tableProgress:
-		return matterProgress, first.Part
-	case first.Table != tableControl:
-		return matterOther, first.Part
-	case first.Part == machinesCell:
-		return matterMachines, first.Part
-	case first.Key == ownerKey:
-		return matterCell, first.Part
-	}
-	return matterBeat, first.Part
-}
-
-// tell counts a transaction, and writes down one that took long or failed.
-func (ln *link) tell(tx Tx, span time.Duration, err error) {
-	mt, part := matterOf(tx)
-	ln.fig.commits[mt].Update(span.Microseconds())
-	word := wordOf(err)
-	if word == wordSilent {
-		ln.fig.unanswered[mt].Inc(1)
-	}
-	if span < slowCommit && (word == wordDone || word == wordConflict) {
-		return
-	}
-	ln.log.Emit(event.StoreSlow, zap.String("matter", string(mt)), zap.String("part", part), zap.Int("rows", len(tx.Write)), zap.Duration("took", span), zap.String("outcome", word))
-}
-
 // histogramSize is how many of the newest values a histogram is made from.
 const histogramSize = 512
 
