--- a/fleet/turns_test.go
+++ b/fleet/turns_test.go
@@ -135,6 +135,17 @@
 	return nil, ctx.Err()
 }
 
+// inBubble plays a test on a synthetic clock, and ends what it started with the context when it is over.
+func inBubble(t *testing.T, play func(ctx context.Context, t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		play(ctx, t)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // intakeFleet is a number of instances that only accept jobs, over one store.
 type intakeFleet struct {
 	nodes []*Fleet
@@ -202,9 +213,14 @@
 	return res
 }
 
-// checkRefused checks that no job is kept whose caller was told that it was not taken, whatever is still on its way to the store.
-func (fl intakeFleet) checkRefused(t *testing.T, res handedIn) {
+// check checks that all callers were answered in time, and that no job is kept whose caller was told that it was not taken, whatever was
+// still on its way to the store then.
+func (fl intakeFleet) check(t *testing.T, res handedIn) {
 	t.Helper()
+	t.Logf("accepted %d, refused %d, unknown %d, late %d; %d transactions", res.verdicts[Accepted], res.verdicts[Refused], res.verdicts[Unknown], res.late, fl.store.count())
+	if res.late > 0 {
+		t.Errorf("%d callers were answered when their time was over", res.late)
+	}
 	time.Sleep(time.Minute)
 	for _, id := range res.refused {
 		if kept := fl.store.mm.read(Query{Table: tableHome, Part: partName(homePart(id)), From: string(id), To: string(id) + "!"}); len(kept.Rows) > 0 {
@@ -218,17 +234,9 @@
 func TestCallersAreAnsweredInTime(t *testing.T) {
 	for _, times := range []int{150, 400, 1000} {
 		t.Run(fmt.Sprintf("%d times slower", times), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(context.Background())
+			inBubble(t, func(ctx context.Context, t *testing.T) {
 				fl := startIntake(ctx, newTurnStore(times), 6)
-				res := fl.handIn(2, 100, 4*time.Second)
-				t.Logf("accepted %d, refused %d, unknown %d, late %d; %d transactions", res.verdicts[Accepted], res.verdicts[Refused], res.verdicts[Unknown], res.late, fl.store.count())
-				if res.late > 0 {
-					t.Errorf("%d callers were answered when their time was over", res.late)
-				}
-				fl.checkRefused(t, res)
-				cancel()
-				synctest.Wait()
+				fl.check(t, fl.handIn(2, 100, 4*time.Second))
 			})
 		})
 	}
@@ -239,20 +247,13 @@
 func TestSlowStoreAcceptsFromManyInstances(t *testing.T) {
 	for _, count := range []int{6, 33} {
 		t.Run(fmt.Sprintf("%d instances", count), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(context.Background())
+			inBubble(t, func(ctx context.Context, t *testing.T) {
 				fl := startIntake(ctx, newTurnStore(60), count)
 				res := fl.handIn(1, 100, 4*time.Second)
-				t.Logf("accepted %d, refused %d, unknown %d, late %d; %d transactions", res.verdicts[Accepted], res.verdicts[Refused], res.verdicts[Unknown], res.late, fl.store.count())
 				if got := res.verdicts[Accepted]; got < 380 {
 					t.Errorf("%d of 400 jobs were accepted", got)
 				}
-				if res.late > 0 {
-					t.Errorf("%d callers were answered when their time was over", res.late)
-				}
-				fl.checkRefused(t, res)
-				cancel()
-				synctest.Wait()
+				fl.check(t, res)
 			})
 		})
 	}
@@ -262,8 +263,7 @@
 // the duty's lease and must not hold up its renewals.
 func TestWaveOnASlowStoreKeepsTheLease(t *testing.T) {
 	const wanted = 70
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	inBubble(t, func(ctx context.Context, t *testing.T) {
 		store := newTurnStore(60)
 		du := startDutyHolder(ctx, t, store)
 		time.Sleep(10 * time.Second)
@@ -277,8 +277,6 @@
 			t.Errorf("%d of %d machines are wanted in the store", got, wanted)
 		}
 		t.Logf("%d transactions", store.count())
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -344,8 +342,7 @@
 // TestLostAnswersSeldomCostTheLease: a third of all answers are lost, also those that would tell of an earlier try. With every lost answer
 // counted as no renewal, and longer waits after each, the lease was lost at more than half of the moments.
 func TestLostAnswersSeldomCostTheLease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	inBubble(t, func(ctx context.Context, t *testing.T) {
 		store := newTurnStore(1)
 		store.lossy(3, 0.35)
 		du := startDutyHolder(ctx, t, store)
@@ -355,7 +352,5 @@
 		if got > 200 {
 			t.Errorf("the lease was lost at %d of 600 moments", got)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
--- a/fleet/writes_test.go
+++ b/fleet/writes_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/aspenseam/aspenseam/cell"
@@ -20,8 +19,7 @@
 		gap    = 50 * time.Millisecond
 		saveAt = 40
 	)
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	inBubble(t, func(ctx context.Context, t *testing.T) {
 		ow, store := startWriter(ctx, t)
 		var refs []cell.Ref
 		var asked int
@@ -57,16 +55,13 @@
 			t.Errorf("the cell's row names %d of %d workers", got, come)
 		}
 		t.Logf("%d transactions, the end kept after %d", store.count(), kept)
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // TestLostAnswersHoldUpProgressBriefly: a third of the transactions are done and not answered; progress comes five times a second.
 func TestLostAnswersHoldUpProgressBriefly(t *testing.T) {
 	const saves = 100
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	inBubble(t, func(ctx context.Context, t *testing.T) {
 		ow, store := startWriter(ctx, t)
 		store.turn, store.answer = fastTurn, fastAnswer
 		store.lossy(5, 0.35)
@@ -88,8 +83,6 @@
 		if late > saves/5 {
 			t.Errorf("%d of %d saves took over a second", late, saves)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
