Starts wait while their answers are slow; payloads lie apart; large answers are not given up while they come

Change: payloads in a table of their own, asked for once from the instance that accepted the job, then from the store; starts under way bounded by how soon they are answered; more peers share starts that queue; calls for feeds and tables are given up once nothing comes, not at a fixed time; bytes counted by kind of call (event 836, metrics bytes.*). Rows in the new layout only while all instances read it.

--- a/cell/answer.go
+++ b/cell/answer.go
@@ -4,6 +4,9 @@
 	"time"
 )
 
+// unpreparedFor is the pause before a task is started again whose payload could not be had.
+const unpreparedFor = 200 * time.Millisecond
+
 // overtaken handles a refusal for a higher token: the owner's own newer one, or another owner's.
 func (cr *Core) overtaken(wk *worker, token Token) bool {
 	if token < cr.token(wk) {
@@ -42,6 +45,9 @@
 	if pl.phase != starting && !(pl.phase == stopping && pl.acked.IsZero()) {
 		return
 	}
+	if od.Outcome != Silent && od.Outcome != Unsent {
+		cr.window.took(now, od.Received.Sub(pl.ordered))
+	}
 	switch od.Outcome {
 	case Done:
 		if pl.phase == starting {
@@ -84,6 +90,8 @@
 		wk.nextLook = now
 	case Invalid:
 		ts.notBefore = now.Add(foreignFor)
+	case Unprepared:
+		ts.notBefore = now.Add(unpreparedFor)
 	}
 	if pl.attempt == ts.attempt {
 		ts.attempt--
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -157,6 +157,7 @@
 	planned    time.Time
 	cordons    map[WorkerID]bool
 	urgentSave bool
+	window     window
 	run        runtimes
 	// neededSum is what the open jobs wanted at neededAt.
 	neededSum float64
--- a/cell/order.go
+++ b/cell/order.go
@@ -25,12 +25,14 @@
 	}
 	// Start starts an attempt of a task.
 	Start struct {
-		Worker     WorkerID
-		Address    string
-		Token      Token
-		Task       job.Task
-		Attempt    job.Attempt
-		Payload    string
+		Worker  WorkerID
+		Address string
+		Token   Token
+		Task    job.Task
+		Attempt job.Attempt
+		Payload string
+		// PayloadAt is the entry instance that has the payload as well; empty if none is known to.
+		PayloadAt  string
 		Until      int64
 		Checkpoint job.Checkpoint
 		Ticket     string
@@ -106,11 +108,13 @@
 	Invalid
 	// Dead means that another life answers at the address.
 	Dead
+	// Unprepared means that the order was not sent, since its payload could not be had where it was to be carried out.
+	Unprepared
 )
 
 // String names the outcome for the log.
 func (oc Outcome) String() string {
-	return [...]string{"silent", "done", "unsent", "overtaken", "stale", "late", "noRoom", "noTicket", "unwell", "invalid", "dead"}[oc]
+	return [...]string{"silent", "done", "unsent", "overtaken", "stale", "late", "noRoom", "noTicket", "unwell", "invalid", "dead", "unprepared"}[oc]
 }
 
 // Running is one attempt that a worker lists as running.
--- a/cell/place.go
+++ b/cell/place.go
@@ -38,6 +38,10 @@
 		if js.carried && len(cr.unresolved) > 0 {
 			continue
 		}
+		if !cr.window.open() {
+			// The next answer brings the next round.
+			return
+		}
 		cr.placeJob(rd, js)
 	}
 }
@@ -209,6 +213,9 @@
 		return false
 	}
 	for count, at := range waiting {
+		if !cr.window.open() {
+			return false
+		}
 		cd := cr.choose(now, st, at, rd.usable)
 		if cd == nil {
 			// The others of the step are as large.
@@ -325,6 +332,7 @@
 	pl := &placement{task: tk, step: st, worker: wk, attempt: attempt, phase: starting, token: cr.token(wk), room: st.spec.Room(), ordered: now, pace: 100}
 	ts.place = pl
 	wk.put(pl)
+	cr.window.underWay++
 	cd.free = cd.free.Minus(pl.room)
 	st.job.begun = true
 	wk.busyAt = now
@@ -333,6 +341,6 @@
 	cr.opts.Log(Decision{What: "start", Task: tk, Attempt: attempt, Worker: wk.info.ID, Token: pl.token, Why: "room and turn", Age: now.Sub(wk.lookedAt)})
 	cr.order(Start{
 		Worker: wk.info.ID, Address: wk.info.Address, Token: pl.token, Task: tk, Attempt: attempt,
-		Payload: st.job.spec.Payload, Until: until, Checkpoint: ts.checkpoint, Ticket: st.tickets[wk.info.ID],
+		Payload: st.job.spec.Payload, PayloadAt: st.job.spec.Acceptor, Until: until, Checkpoint: ts.checkpoint, Ticket: st.tickets[wk.info.ID],
 	})
 }
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -93,10 +93,14 @@
 	}
 }
 
-// stops ends what is not to run any more.
+// stops ends what is not to run any more, and counts the starts that are under way.
 func (cr *Core) stops(now time.Time) {
+	cr.window.underWay = 0
 	for _, wk := range cr.list {
 		for _, pl := range wk.placed {
+			if pl.phase == starting {
+				cr.window.underWay++
+			}
 			if why := cr.stopReason(pl); why != "" && !pl.stopping {
 				pl.stopping, pl.why = true, why
 			}
--- /dev/null
+++ b/cell/window.go
@@ -0,0 +1,91 @@
+package cell
+
+import "time"
+
+// Bounds of the starts that are under way, and what they follow.
+const (
+	// startsFirst is how many may be under way before any was answered: a few for each worker of a small cell.
+	startsFirst = 64
+	// startsLeast keeps a cell going whose answers take long for a reason that its own starts have no part in. Each start carries up to
+	// 4 KB, so that this many fill a link of 250 KB/s for some 0.1 s.
+	startsLeast = 8
+	// startsMost bounds what a lost peer can leave without an answer.
+	startsMost = 2048
+	// startsQueue is how long starts may queue on their way beyond twice the shortest time seen. Looks use the same links and renew
+	// leases: with queues of 0.5 s and more they were given up, and lasting tasks lapsed (calm days on links of 250 KB/s).
+	startsQueue = 60 * time.Millisecond
+	// startsShrink is what a late answer leaves of the window, at most once in startsPause, since answers late together have one cause.
+	startsShrink = 0.7
+	startsPause  = 100 * time.Millisecond
+	// startsMemory is for how long the shortest time counts, once or twice: ways change.
+	startsMemory = 15 * time.Second
+	// startsShare is the weight of the newest answer in the smoothed time.
+	startsShare = 0.05
+)
+
+// window bounds how many starts are under way, by how soon they are answered: an owner whose link or processor is full would send ever
+// more of them otherwise, until looks come too late to renew leases.
+type window struct {
+	size float64
+	// underWay is how many starts have no answer yet.
+	underWay int
+	// least is the shortest time of late, earlier that of the time before; since is when least began to count.
+	least, earlier time.Duration
+	since          time.Time
+	shrunk         time.Time
+	// smoothed is how long starts take, answered how many were since the last reading.
+	smoothed time.Duration
+	answered int
+}
+
+// open reports whether one more start may go.
+func (wi *window) open() bool { return wi.underWay < int(wi.limit()) }
+
+func (wi *window) limit() float64 {
+	if wi.size == 0 {
+		return startsFirst
+	}
+	return wi.size
+}
+
+// took notes how long an answered start took from its decision on.
+func (wi *window) took(now time.Time, span time.Duration) {
+	wi.remember(now, span)
+	wi.answered++
+	wi.smoothed += time.Duration(startsShare * float64(span-wi.smoothed))
+	limit, target := wi.limit(), wi.target()
+	switch {
+	case span <= target && float64(wi.underWay) >= limit/2:
+		limit++
+	case span > 2*target && now.Sub(wi.shrunk) > max(startsPause, span):
+		limit *= startsShrink
+		wi.shrunk = now
+	}
+	wi.size = min(startsMost, max(startsLeast, limit))
+}
+
+// target is how long a start may take.
+func (wi *window) target() time.Duration {
+	least := wi.least
+	if wi.earlier != 0 {
+		least = min(least, wi.earlier)
+	}
+	return startsQueue + 2*least
+}
+
+// remember keeps the shortest time of late.
+func (wi *window) remember(now time.Time, span time.Duration) {
+	if now.Sub(wi.since) > startsMemory {
+		wi.earlier, wi.least, wi.since = wi.least, span, now
+		return
+	}
+	wi.least = min(wi.least, span)
+}
+
+// StartTime is how long starts take from their decision to the worker's answer, smoothed, and how many were answered since it was last
+// asked for.
+func (cr *Core) StartTime() (span time.Duration, answered int) {
+	answered = cr.window.answered
+	cr.window.answered = 0
+	return cr.window.smoothed, answered
+}
--- /dev/null
+++ b/cell/window_test.go
@@ -0,0 +1,91 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// narrowLink answers starts one after the other, each after a time of its own.
+type narrowLink struct {
+	wi   *window
+	now  time.Time
+	each time.Duration
+	// sent are the times at which the starts that have no answer were decided.
+	sent []time.Time
+	// answered counts, longest is the longest time of an answer.
+	answered int
+	longest  time.Duration
+}
+
+// run lets the owner decide as much as it may for a while.
+func (nl *narrowLink) run(span time.Duration) {
+	nl.answered, nl.longest = 0, 0
+	for until := nl.now.Add(span); nl.now.Before(until); {
+		for nl.wi.underWay = len(nl.sent); nl.wi.open(); nl.wi.underWay++ {
+			nl.sent = append(nl.sent, nl.now)
+		}
+		nl.now = nl.now.Add(nl.each)
+		took := nl.now.Sub(nl.sent[0])
+		nl.sent = nl.sent[1:]
+		nl.longest = max(nl.longest, took)
+		nl.answered++
+		nl.wi.took(nl.now, took)
+	}
+}
+
+// TestStartsDoNotQueueOnANarrowLink: a link that takes 90 starts a second is kept busy, with a queue that leaves looks their time; a wider
+// one is used as soon as it is there.
+func TestStartsDoNotQueueOnANarrowLink(t *testing.T) {
+	const looksWait = 400 * time.Millisecond
+	nl := &narrowLink{wi: &window{}, now: time.Unix(1_700_000_000, 0), each: 11 * time.Millisecond}
+	nl.run(3 * time.Second)
+	nl.run(10 * time.Second)
+	if nl.longest > looksWait {
+		t.Errorf("a start took %v", nl.longest)
+	}
+	nl.each = time.Millisecond
+	nl.run(2 * time.Second)
+	nl.run(time.Second)
+	if full := int(time.Second / nl.each); nl.answered < full*9/10 || nl.longest > looksWait {
+		t.Errorf("%d of %d starts a second, the slowest after %v", nl.answered, full, nl.longest)
+	}
+	nl.each = 50 * time.Millisecond
+	nl.run(20 * time.Second)
+	nl.run(5 * time.Second)
+	if nl.longest > 2*looksWait {
+		t.Errorf("a start took %v once the link had become narrow", nl.longest)
+	}
+}
+
+// TestStartsWithoutAnswersAreBounded: an owner none of whose starts is answered gives no further ones, however much waits.
+func TestStartsWithoutAnswersAreBounded(t *testing.T) {
+	bd := newBed(t, 4)
+	bd.add("a", bedEpoch, job.Step{Count: 500, Size: job.Size{CPUMillis: 10, MemoryMB: 1}})
+	given := starts(bd.plan())
+	if len(given) != startsFirst {
+		t.Fatalf("%d starts, want %d", len(given), startsFirst)
+	}
+	bd.pass(time.Second)
+	bd.wantStarts(bd.plan(), 0)
+	for _, st := range given {
+		bd.ordered(st, Done)
+	}
+	if more := starts(bd.plan()); len(more) < startsLeast {
+		t.Errorf("%d starts after answers", len(more))
+	}
+}
+
+// TestStartWithoutItsPayloadIsTriedAgain: it was not sent, so its number is free, and the worker is not to blame.
+func TestStartWithoutItsPayloadIsTriedAgain(t *testing.T) {
+	bd := newBed(t, 1)
+	bd.add("a", bedEpoch, tasks(1))
+	st := bd.wantStarts(bd.plan(), 1)[0]
+	bd.ordered(st, Unprepared)
+	bd.wantStarts(bd.plan(), 0)
+	bd.pass(unpreparedFor)
+	if again := bd.wantStarts(bd.plan(), 1)[0]; again.Attempt != st.Attempt || again.Worker != st.Worker {
+		t.Errorf("%+v after %+v", again, st)
+	}
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -78,6 +78,8 @@
 	StoreSlow            = Kind{833, "transaction took long or failed", zapcore.InfoLevel, "Look at which matter and part it is: slow in all parts is the store, slow in one is a queue of transactions before it."}
 	JobUnsure            = Kind{834, "caller was told that it is not known whether the job was accepted", zapcore.WarnLevel, "The fields waited and tries say for how long it was tried; the caller asks again."}
 	WriteWaited          = Kind{835, "write of a cell's owner waited", zapcore.InfoLevel, "Nothing if it passes; ends and new workers of the cell wait as long."}
+	BytesMoved           = Kind{836, "bytes moved by this instance's connections", zapcore.InfoLevel, "Nothing; out and in are since the last line, kinds name the calls that moved most (out/in). Compare them with the link."}
+	PayloadMissing       = Kind{837, "payload of a job is not to be had", zapcore.WarnLevel, "Nothing if it passes; tasks of the job named wait until the instance that accepted it or the store answers."}
 	JobKnown             = Kind{829, "job was accepted before", zapcore.InfoLevel, "Nothing; the caller's second try is the same job."}
 )
 
@@ -94,5 +96,5 @@
 	CellClaimed, CellLoaded, CellLost, CellReleased, ClaimFailed, ReleaseFailed, SaveFailed, CellDecided,
 	JobAccepted, JobRefused, JobCancelled, AdviceFailed, PeerSilent, CarryRejected,
 	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown, RelayLost, HallCutOff, HallReached,
-	StoreSlow, JobUnsure, WriteWaited,
+	StoreSlow, JobUnsure, WriteWaited, BytesMoved, PayloadMissing,
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -73,6 +73,7 @@
 			continue
 		}
 		live := fl.alive()
+		fl.agreeLayout(live)
 		for _, name := range fl.cells() {
 			fl.consider(ctx, now, name, live)
 		}
--- a/fleet/errand.go
+++ b/fleet/errand.go
@@ -29,7 +29,7 @@
 	case cell.Start:
 		return &peer.RelayOrder{
 			Id: id, Kind: peer.OrderKind_ORDER_START, Worker: string(order.Worker), Address: order.Address, Token: int64(order.Token), Task: relayTask(order.Task),
-			Attempt: int32(order.Attempt), Payload: order.Payload, Until: order.Until, Checkpoint: string(order.Checkpoint), Ticket: order.Ticket,
+			Attempt: int32(order.Attempt), Payload: order.Payload, PayloadAt: order.PayloadAt, Until: order.Until, Checkpoint: string(order.Checkpoint), Ticket: order.Ticket,
 		}
 	case cell.Stop:
 		return &peer.RelayOrder{
@@ -53,7 +53,7 @@
 	case peer.OrderKind_ORDER_START:
 		return cell.Start{
 			Worker: id, Address: ro.Address, Token: token, Task: taskOf(ro.Task), Attempt: attempt,
-			Payload: ro.Payload, Until: ro.Until, Checkpoint: job.Checkpoint(ro.Checkpoint), Ticket: ro.Ticket,
+			Payload: ro.Payload, PayloadAt: ro.PayloadAt, Until: ro.Until, Checkpoint: job.Checkpoint(ro.Checkpoint), Ticket: ro.Ticket,
 		}
 	case peer.OrderKind_ORDER_STOP:
 		return cell.Stop{Worker: id, Address: ro.Address, Token: token, Task: taskOf(ro.Task), Attempt: attempt}
@@ -108,7 +108,7 @@
 // outcomeOf reads an outcome; one that is not known here counts as silence.
 func outcomeOf(rr *peer.RelayResult) cell.Outcome {
 	oc := cell.Outcome(rr.Outcome)
-	if oc < cell.Silent || oc > cell.Dead {
+	if oc < cell.Silent || oc > cell.Unprepared {
 		return cell.Silent
 	}
 	return oc
--- a/fleet/figures.go
+++ b/fleet/figures.go
@@ -42,7 +42,7 @@
 		fg.commits[mt] = histogram("store.commitMicros." + string(mt))
 		fg.unanswered[mt] = counter("store.unanswered." + string(mt))
 	}
-	for oc := cell.Silent; oc <= cell.Dead; oc++ {
+	for oc := cell.Silent; oc <= cell.Unprepared; oc++ {
 		fg.outcomes[oc] = counter("workers.orders." + oc.String())
 	}
 	return fg
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,8 @@
 	tableHome = "home"
 	// tableProgress holds what is kept of the course of jobs, in a part for each cell.
 	tableProgress = "progress"
+	// tablePayload holds what the tasks of open jobs are given, apart from the jobs, since those are read by owners that seldom need it.
+	tablePayload = "payload"
 	// tableJob begins the names of the tables of open jobs; each cell has one, which several may share.
 	tableJob = "job"
 )
@@ -61,7 +63,9 @@
 	Sizes    machine.SizeOptions
 	Log      *event.Logger
 	Registry metrics.Registry
-	Now      func() time.Time
+	// Bytes counts what the instance's connections move; nil if nothing does.
+	Bytes *Bytes
+	Now   func() time.Time
 }
 
 // Fleet is one entry instance's part in running the jobs.
@@ -82,10 +86,13 @@
 	intakes  [homeParts]*intake
 	pending  pendingCache
 	homes    homeCache
+	payloads *payloads
 	stopping atomic.Bool
-	duty     *duty
-	reach    *reach
-	relay    *relay
+	// apart is set while all instances that live read payloads apart from jobs.
+	apart atomic.Bool
+	duty  *duty
+	reach *reach
+	relay *relay
 	// readers read the parts of tables.
 	readers pond.Pool
 	// errands numbers the orders that peers are given.
@@ -113,7 +120,7 @@
 	if options.Incarnation == "" {
 		options.Incarnation = table.NewID()
 	}
-	fl := &Fleet{background: context.Background(), opts: options, owners: map[string]*owner{}, claiming: map[string]bool{}, roster: newRoster(), readers: pond.NewPool(readAtOnce)}
+	fl := &Fleet{background: context.Background(), opts: options, owners: map[string]*owner{}, claiming: map[string]bool{}, roster: newRoster(), payloads: newPayloads(), readers: pond.NewPool(readAtOnce)}
 	fl.fig = newFigures(options.Registry)
 	fl.peers = newPeers(fl)
 	fl.link = newLink(options.Store, fl.peers, options.Log, options.Now, fl.fig)
@@ -141,6 +148,7 @@
 		wg.Go(func() { in.run(ctx) })
 	}
 	wg.Go(func() { fl.beat(ctx) })
+	wg.Go(func() { fl.tellBytes(ctx) })
 	wg.Go(func() { fl.own(ctx) })
 	wg.Go(func() { fl.reach.run(ctx) })
 	wg.Wait()
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -15,7 +15,7 @@
 
 // Times and sizes of accepting jobs.
 const (
-	// intakeGroup is how many jobs one transaction accepts: three rows with their conditions each stay below a transaction's 100 entries.
+	// intakeGroup is how many jobs one transaction accepts: three rows and a condition each stay below a transaction's 100 entries.
 	intakeGroup = 24
 	// intakeTimeout bounds one read.
 	intakeTimeout = 900 * time.Millisecond
@@ -137,7 +137,7 @@
 		return Refused, comeBack
 	}
 	sp.Epoch = fl.members.owner(cellName(sp.Pool)).epoch()
-	raw, err := job.EncodeSpec(sp)
+	raw, err := job.EncodeSpec(fl.kept(sp))
 	if err != nil {
 		return Refused, comeBack
 	}
@@ -164,6 +164,17 @@
 	return vd, comeBack
 }
 
+// kept is a job as its row has it: without its payload, which lies apart, once all instances know how to find it there.
+func (fl *Fleet) kept(sp *job.Spec) *job.Spec {
+	if sp.Payload == "" || !fl.apart.Load() {
+		return sp
+	}
+	sp.Acceptor = fl.opts.Address
+	light := *sp
+	light.Payload = ""
+	return &light
+}
+
 // fresh reports whether the table was heard of lately.
 func (wt *watch) fresh(now time.Time) bool {
 	_, until := wt.healthy()
@@ -294,6 +305,9 @@
 		}
 		tx.Expect = append(tx.Expect, Expect{Place{tableHome, in.part, id}, 0})
 		tx.Write = append(tx.Write, Row{Table: tableHome, Part: in.part, Key: id, Value: raw}, Row{Table: jobTable(name), Part: in.part, Key: id, Value: hd.raw})
+		if hd.spec.Acceptor != "" {
+			tx.Write = append(tx.Write, Row{Table: tablePayload, Part: in.part, Key: id, Value: []byte(hd.spec.Payload)})
+		}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, in.fl.link.patience())
 	defer cancel()
@@ -307,6 +321,7 @@
 	for _, hd := range group {
 		name := cellName(hd.spec.Pool)
 		in.fl.homes.add(hd.spec.ID, name)
+		in.fl.payloads.put(hd.spec.ID, hd.spec.Payload)
 		byCell[name] = append(byCell[name], hd.raw)
 		in.fl.logJob(event.JobAccepted, hd.spec.ID, append(hd.story(in.fl.opts.Now()), zap.String("cell", name), zap.Int64("epoch", int64(hd.spec.Epoch)))...)
 		hd.verdict <- Accepted
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -25,6 +25,23 @@
 	// Power is its share of a core, by which cells are spread.
 	Power   float64 `json:"power,omitempty"`
 	Leaving bool    `json:"leaving,omitempty"`
+	// Layout is the newest layout of rows that the instance reads.
+	Layout int `json:"layout,omitempty"`
+}
+
+// layoutApart is the layout in which payloads lie apart from jobs. An instance that reads only older ones would start a job without its
+// payload, so rows are written in it only while all that live read it.
+const layoutApart = 1
+
+// agreeLayout notes whether all instances that live read payloads apart from jobs.
+func (fl *Fleet) agreeLayout(live map[string]node) {
+	for _, nd := range live {
+		if nd.Layout < layoutApart {
+			fl.apart.Store(false)
+			return
+		}
+	}
+	fl.apart.Store(len(live) > 0)
 }
 
 // ownerRow is the row of a cell; its version is the epoch when its epoch field is 0.
@@ -202,7 +219,7 @@
 // beat renews this instance's row until the context ends. Each instance has a part of its own, since a part takes its writes in
 // turn: with a slow store, all beats in one part would hold each other up until everyone seems dead.
 func (fl *Fleet) beat(ctx context.Context) {
-	nd := node{Name: fl.opts.Name, Address: fl.opts.Address, Hall: fl.opts.Hall, Incarnation: fl.opts.Incarnation, Power: fl.opts.Power}
+	nd := node{Name: fl.opts.Name, Address: fl.opts.Address, Hall: fl.opts.Hall, Incarnation: fl.opts.Incarnation, Power: fl.opts.Power, Layout: layoutApart}
 	for ctx.Err() == nil {
 		nd.Beat++
 		nd.Leaving = fl.stopping.Load()
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -24,8 +24,8 @@
 	quietFor = 1500 * time.Millisecond
 	// archiveEvery is how often the rows of ended jobs are removed from the table of open ones.
 	archiveEvery = 3 * time.Second
-	// archiveMost is how many jobs are removed at once.
-	archiveMost = 40
+	// archiveMost is how many jobs are removed at once: three rows each stay below a transaction's 100 entries.
+	archiveMost = 32
 )
 
 // owner runs the core of one cell.
@@ -253,9 +253,13 @@
 
 // command gives a worker an order, through a peer if one carries out this worker's.
 func (ow *owner) command(ctx context.Context, id cell.WorkerID, od cell.Order) {
-	if !ow.relays.send(ctx, id, od) {
-		ow.lane(id).add(ctx, od, ow.ordered)
+	if ow.relays.send(ctx, id, od) {
+		return
 	}
+	ow.fl.complete(ctx, od, func(od cell.Order) { ow.lane(id).add(ctx, od, ow.ordered) }, func() {
+		now := ow.fl.opts.Now()
+		ow.ordered(cell.Ordered{Order: od, Outcome: cell.Unprepared, Sent: now, Received: now})
+	})
 }
 
 func (ow *owner) looked(lk cell.Looked) {
@@ -292,6 +296,17 @@
 	ow.post(func(cr *cell.Core, now time.Time) { cr.Advised(now, ad, tickets, valid) })
 }
 
+// startTime is how long starts take of late, 0 if none was answered.
+func (ow *owner) startTime() time.Duration {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	span, answered := ow.core.StartTime()
+	if answered == 0 {
+		return 0
+	}
+	return span
+}
+
 // overtaken ends this owner's work.
 func (ow *owner) overtaken(why string) {
 	ow.lost.Store(true)
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -42,9 +42,13 @@
 }
 
 func newPeers(fl *Fleet) *peers {
+	options := []tcp.Option{tcp.DialTimeout(peerDial), tcp.IdleConnections(peerConnections), tcp.IdleTime(peerIdle)}
+	if fl.opts.Bytes != nil {
+		options = append(options, tcp.Metered(fl.opts.Bytes, PeerCall))
+	}
 	return &peers{
 		fl:      fl,
-		client:  tcp.NewClient(tcp.DialTimeout(peerDial), tcp.IdleConnections(peerConnections), tcp.IdleTime(peerIdle)),
+		client:  tcp.NewClient(options...),
 		clients: map[string]peer.Cells{}, bad: map[string]time.Time{},
 	}
 }
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -111,12 +111,19 @@
 			sd.add(relayLooked(ro.Id, lk), lk.Received)
 		}()
 	default:
-		rl.lane(cell.WorkerID(ro.Worker), now()).add(ctx, order, func(od cell.Ordered) {
-			sd.add(&peer.RelayResult{Id: ro.Id, Outcome: int32(od.Outcome), Clock: od.Clock}, od.Received)
+		rl.fl.complete(ctx, order, func(od cell.Order) { rl.command(sd, ro, od) }, func() {
+			sd.add(&peer.RelayResult{Id: ro.Id, Outcome: int32(cell.Unprepared)}, now())
 		})
 	}
 }
 
+// command gives a worker an order, and its sender the result.
+func (rl *relay) command(sd *sender, ro *peer.RelayOrder, od cell.Order) {
+	rl.lane(cell.WorkerID(ro.Worker), rl.fl.opts.Now()).add(rl.fl.background, od, func(od cell.Ordered) {
+		sd.add(&peer.RelayResult{Id: ro.Id, Outcome: int32(od.Outcome), Clock: od.Clock}, od.Received)
+	})
+}
+
 func (rl *relay) lane(id cell.WorkerID, now time.Time) *lane {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -34,6 +34,13 @@
 	// peer that is cut off from this instance alone stays a member.
 	relayBad     = 2500 * time.Millisecond
 	relayBadMost = 20 * time.Second
+	// relaySlow and relayQuick are the times of a start, from its decision to the worker's answer, from which on more or fewer peers are
+	// used. Idle ways take some 5 ms directly and 20 ms through a peer; starts that queue on a link of 250 KB/s take over 100 ms.
+	relaySlow  = 60 * time.Millisecond
+	relayQuick = 30 * time.Millisecond
+	// relayWiden and relayNarrow are by how much it changes at a time, relayBroadest is the most.
+	relayWiden, relayNarrow = 1.5, 0.95
+	relayBroadest           = 32.0
 	// relayLate is when an order without a result counts as silent: it may have waited in the peer's lane, and then for its worker.
 	relayLate = relayPatience + 1200*time.Millisecond
 )
@@ -45,10 +52,12 @@
 	links map[string]*relayLink
 	// chosen maps workers to peers; a worker without one is called directly.
 	chosen map[cell.WorkerID]*relayLink
+	// breadth is how many times as many peers are used as the number of workers asks for.
+	breadth float64
 }
 
 func newRelays(ow *owner) *relays {
-	return &relays{ow: ow, links: map[string]*relayLink{}, chosen: map[cell.WorkerID]*relayLink{}}
+	return &relays{ow: ow, links: map[string]*relayLink{}, chosen: map[cell.WorkerID]*relayLink{}, breadth: 1}
 }
 
 // run chooses peers until the context ends.
@@ -73,8 +82,9 @@
 	workers := fl.roster.of(rs.ow.pool())
 	chosen := map[cell.WorkerID]*relayLink{}
 	var links []*relayLink
-	if len(workers) > relayAfter {
-		links = rs.candidates(now, float64(len(workers)))
+	rs.breadth = nextBreadth(rs.breadth, rs.ow.startTime())
+	if len(workers) > relayAfter || rs.breadth > 1 {
+		links = rs.candidates(now, float64(len(workers))*rs.breadth)
 	}
 	for _, wk := range workers {
 		if ln := bestRelay(string(wk.ID), wk.Hall, links); ln != nil {
@@ -89,6 +99,18 @@
 	}
 }
 
+// nextBreadth follows how long starts take: where they queue, at the owner's link or processor or at those of its peers, more peers share
+// them; where they do not, fewer do, since each peer that is asked for results is a further call.
+func nextBreadth(breadth float64, starts time.Duration) float64 {
+	switch {
+	case starts > relaySlow:
+		return min(relayBroadest, breadth*relayWiden)
+	case starts < relayQuick:
+		return max(1, breadth*relayNarrow)
+	}
+	return breadth
+}
+
 // candidates are the peers that are needed for so many workers. The same ones come first each time, so that more workers add peers and
 // change none; owners of cells come last.
 func (rs *relays) candidates(now time.Time, workers float64) []*relayLink {
--- a/fleet/save.go
+++ b/fleet/save.go
@@ -127,7 +127,7 @@
 	var tx Tx
 	for _, id := range ids {
 		part := partName(homePart(id))
-		tx.Remove = append(tx.Remove, Place{jobTable(ow.name), part, string(id)}, Place{jobTable(ow.name), part, string(id) + cancelSuffix})
+		tx.Remove = append(tx.Remove, Place{jobTable(ow.name), part, string(id)}, Place{jobTable(ow.name), part, string(id) + cancelSuffix}, Place{tablePayload, part, string(id)})
 	}
 	if !ow.try(ctx, tx) {
 		// They are removed in a later round; until then they only lengthen a takeover.
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/aspenseam/aspenseam/event"
+	"github.com/aspenseam/aspenseam/tcp"
 	"go.uber.org/zap"
 )
 
@@ -27,11 +28,11 @@
 	jobsGap      = 600 * time.Millisecond
 	jobsWait     = 2 * time.Second
 	quietWait    = 1500 * time.Millisecond
-	// feedMargin is added to a feed's wait before the call is given up.
+	// feedMargin is added to a feed's wait before the call is given up on which nothing comes.
 	feedMargin = 900 * time.Millisecond
 	// feedRetry is the pause after a feed call that failed.
 	feedRetry = 250 * time.Millisecond
-	// readTimeout bounds one read.
+	// readTimeout bounds for how long a read may receive nothing.
 	readTimeout = 1500 * time.Millisecond
 	// longAgo is how long before its start a watch counts as heard of last.
 	longAgo = time.Hour
@@ -144,7 +145,7 @@
 
 // follow takes the next changes.
 func (wt *watch) follow(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, wt.wait+feedMargin)
+	ctx, cancel := tcp.UntilQuiet(ctx, wt.wait+feedMargin)
 	defer cancel()
 	asked := wt.fl.opts.Now()
 	pg, err := wt.fl.link.Feed(ctx, wt.table, wt.version, wt.wait)
@@ -241,7 +242,7 @@
 	var version int64
 	qu := Query{Table: table, Part: part, Limit: readLimit}
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		callCtx, cancel := tcp.UntilQuiet(ctx, readTimeout)
 		pg, err := fl.link.Read(callCtx, qu)
 		cancel()
 		if err != nil {
--- a/job/job.go
+++ b/job/job.go
@@ -133,6 +133,8 @@
 	AcceptedAt time.Time `json:"acceptedAt"`
 	// Epoch is that of the cell's owner as the accepting entry instance knew it; an owner with a lower one must not start the job.
 	Epoch Epoch `json:"epoch,omitempty"`
+	// Acceptor is where the entry instance that accepted it is reached by others; it has the payload for a while.
+	Acceptor string `json:"acceptor,omitempty"`
 }
 
 // Runs is how many times the steps run.
--- a/serve.go
+++ b/serve.go
@@ -20,6 +20,7 @@
 	"github.com/aspenseam/aspenseam/machine"
 	"github.com/aspenseam/aspenseam/platform"
 	"github.com/aspenseam/aspenseam/settings"
+	"github.com/aspenseam/aspenseam/tcp"
 	"github.com/integrii/flaggy"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
@@ -91,7 +92,8 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	registry := metrics.NewRegistry()
-	fl := fleet.New(fleetOptions(st, cs, lg, registry))
+	bytes := fleet.NewBytes(registry)
+	fl := fleet.New(fleetOptions(st, cs, lg, registry, bytes))
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	stopping := func() bool { return ctx.Err() != nil }
@@ -99,17 +101,18 @@
 	clients := &http.Server{Handler: &openRequests{Handler: platform.NewClients(fl, elsewhere)}, ReadHeaderTimeout: headerTime, ReadTimeout: headerTime, IdleTimeout: idleTime}
 	failed := make(chan error, 4)
 	servers := []struct {
+		kind        string
 		srv         *http.Server
 		address     string
 		connections int
 	}{
-		{clients, st.CallerAddress, frontConnections},
-		{&http.Server{Handler: platform.Ready(fl.Ready), ReadHeaderTimeout: headerTime}, st.ReadyAddress, 0},
-		{&http.Server{Handler: fl.Handler(), ReadHeaderTimeout: headerTime}, st.PeerAddress, 0},
-		{&http.Server{Handler: figuresHandler(registry), ReadHeaderTimeout: headerTime}, net.JoinHostPort(st.IP, strconv.Itoa(st.MetricsPort)), 0},
+		{"callers", clients, st.CallerAddress, frontConnections},
+		{"readiness", &http.Server{Handler: platform.Ready(fl.Ready), ReadHeaderTimeout: headerTime}, st.ReadyAddress, 0},
+		{"peers", &http.Server{Handler: fl.Handler(), ReadHeaderTimeout: headerTime}, st.PeerAddress, 0},
+		{"figures", &http.Server{Handler: figuresHandler(registry), ReadHeaderTimeout: headerTime}, net.JoinHostPort(st.IP, strconv.Itoa(st.MetricsPort)), 0},
 	}
 	for _, sv := range servers {
-		if err := listen(sv.srv, sv.address, sv.connections, failed); err != nil {
+		if err := listen(sv.srv, sv.address, bytes, sv.kind, sv.connections, failed); err != nil {
 			return err
 		}
 	}
@@ -176,17 +179,17 @@
 }
 
 // fleetOptions wires the platform's adapter to the fleet.
-func fleetOptions(st *platform.Settings, cs *settings.Cells, lg *event.Logger, registry metrics.Registry) fleet.Options {
+func fleetOptions(st *platform.Settings, cs *settings.Cells, lg *event.Logger, registry metrics.Registry, bytes *fleet.Bytes) fleet.Options {
 	sizes := machine.DefaultSizes()
 	sizes.Margin, sizes.Standby, sizes.StandbyLong, sizes.IdleFor, sizes.Ahead = cs.Margin, cs.Standby, cs.StandbyLong, cs.IdleFor, cs.Ahead
 	op := fleet.Options{
 		Name: st.Name, Hall: st.Hall, Address: st.PeerAddress, Seeds: st.Seeds, Power: st.Power,
-		Store: platform.NewStore(st.StoreAddress), Workers: platform.NewWorkers(), Machines: platform.NewMachines(st.MachinesAddress), Format: platform.Format{},
+		Store: platform.NewStore(st.StoreAddress, platform.Metered(bytes)), Workers: platform.NewWorkers(platform.Metered(bytes)), Machines: platform.NewMachines(st.MachinesAddress), Format: platform.Format{},
 		Cell: cell.Options{
 			Lease: min(cs.Lease, st.LeaseMax), RenewFor: cs.RenewFor, LookGap: cs.LookGap, StopTime: st.StopTime, Early: st.Early, RemoteFactor: st.RemoteFactor,
 			Retention: st.Retention + cell.DefaultRetention/5,
 		},
-		Sizes: sizes, Log: lg, Registry: registry,
+		Sizes: sizes, Log: lg, Registry: registry, Bytes: bytes,
 	}
 	if st.AdviceAddress != "" {
 		op.Adviser = platform.NewAdviser(st.AdviceAddress)
@@ -194,9 +197,9 @@
 	return op
 }
 
-// listen begins to serve at an address, with at most so many connections, 0 for any number.
-func listen(srv *http.Server, address string, connections int, failed chan<- error) error {
-	ln, err := net.Listen("tcp", address)
+// listen begins to serve at an address, with at most so many connections, 0 for any number. Bytes are counted under the kind.
+func listen(srv *http.Server, address string, bytes tcp.Meter, kind string, connections int, failed chan<- error) error {
+	ln, err := tcp.Listen(address, bytes, "served."+kind)
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
--- a/tcp/conn.go
+++ b/tcp/conn.go
@@ -50,6 +50,10 @@
 	address string
 	// until is the end of the call's time by the steady clock, 0 for none; heard is when something was read last.
 	until, heard atomic.Int64
+	// kind names the newest call for the meter.
+	kind atomic.Pointer[string]
+	// quiet is the newest call's, nil if it has a fixed time.
+	quiet atomic.Pointer[quiet]
 	// answered is set once the answer of the newest call has begun.
 	answered atomic.Bool
 	closing  sync.Once
@@ -64,6 +68,8 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		until = int64(deadline.Sub(start))
 	}
+	waits, _ := ctx.Value(quietKey{}).(*quiet)
+	cn.quiet.Store(waits)
 	cn.answered.Store(false)
 	cn.until.Store(until)
 }
@@ -76,13 +82,19 @@
 	if until := cn.until.Load(); until != 0 && int64(sinceStart()) > until {
 		return 0, ErrLate
 	}
-	return cn.Conn.Write(raw)
+	count, err := cn.Conn.Write(raw)
+	cn.moved(count, 0)
+	return count, err
 }
 
 // Read takes bytes of an answer.
 func (cn *conn) Read(into []byte) (int, error) {
 	count, err := cn.Conn.Read(into)
 	if count > 0 {
+		cn.moved(0, count)
+		if waits := cn.quiet.Load(); waits != nil {
+			waits.heard()
+		}
 		cn.heard.Store(int64(sinceStart()))
 		cn.answered.Store(true)
 	}
--- a/tcp/options.go
+++ b/tcp/options.go
@@ -1,6 +1,9 @@
 package tcp
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // Option sets one property of a transport.
 type Option func(*options)
@@ -8,6 +11,9 @@
 type options struct {
 	dialTimeout, idleTime        time.Duration
 	connections, idleConnections int
+	// meter is told of bytes by the kind of call; nil if nobody is.
+	meter Meter
+	kind  func(*http.Request) string
 }
 
 // Defaults of the options.
--- /dev/null
+++ b/tcp/quiet_test.go
@@ -0,0 +1,59 @@
+package tcp
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// TestCallGoesOnWhileItsAnswerComes: a large answer over a narrow link takes several times as long as the call may hear nothing.
+func TestCallGoesOnWhileItsAnswerComes(t *testing.T) {
+	const span, pieces = 300 * time.Millisecond, 10
+	hang := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		for range pieces {
+			_, _ = wr.Write(make([]byte, 100))
+			wr.(http.Flusher).Flush()
+			time.Sleep(span / 3)
+		}
+		if rq.URL.Path == "/hang" {
+			<-hang
+		}
+	}))
+	defer srv.Close()
+	defer close(hang)
+	client := NewClient()
+	read := func(path string) (int, error) {
+		ctx, cancel := UntilQuiet(t.Context(), span)
+		defer cancel()
+		rq, err := http.NewRequestWithContext(ctx, http.MethodGet, srv.URL+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rp, err := client.Do(rq)
+		if err != nil {
+			return 0, err
+		}
+		defer rp.Body.Close()
+		raw, err := io.ReadAll(rp.Body)
+		return len(raw), err
+	}
+	if got, err := read("/"); got != 100*pieces || err != nil {
+		t.Errorf("%d bytes, %v", got, err)
+	}
+	if _, err := read("/hang"); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("an answer that stands still ends with %v", err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	part, done := UntilQuiet(ctx, time.Hour)
+	defer done()
+	cancel()
+	<-part.Done()
+	if !errors.Is(part.Err(), context.Canceled) {
+		t.Errorf("ended with its parent by %v", part.Err())
+	}
+}
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -46,6 +46,10 @@
 		GotConn: func(gi httptrace.GotConnInfo) {
 			used, _ = gi.Conn.(*conn)
 			used.take(rq.Context())
+			if used != nil && tr.opts.kind != nil {
+				kind := tr.opts.kind(rq)
+				used.kind.Store(&kind)
+			}
 		},
 	})
 	rp, err := tr.inner.RoundTrip(rq.WithContext(ctx))
