Machines go to what can still be in time; late jobs yield; detours without direct feeds; full queues refused

Change: where pools want more machines than there are, the holder of their duty gives what spread limits want first, then what jobs want that can still be in time, then the rest, and tells owners with the question for loads; late jobs of a pool that has more leave a part of its room idle. While calls go through peers only a short read tries the direct way.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -158,6 +158,10 @@
 	cordons    map[WorkerID]bool
 	urgentSave bool
 	window     window
+	// yieldTo is how many machines the pool is to have while others lack some, until yieldUntil.
+	yieldTo    int
+	yieldFirm  bool
+	yieldUntil time.Time
 	run        runtimes
 	// neededSum is what the open jobs wanted at neededAt.
 	neededSum float64
--- a/cell/load.go
+++ b/cell/load.go
@@ -26,12 +26,16 @@
 	Placed  float64 `json:"placed"`
 	// Needed is what would end all open jobs by their objectives.
 	Needed float64 `json:"needed"`
+	// Pressing is the part of it for jobs that can still be in time, and for tasks that last.
+	Pressing float64 `json:"pressing,omitempty"`
 	// Least is how many workers the spread limits of open steps want.
 	Least int `json:"least,omitempty"`
 	// Slack is the time that the jobs of the queue with the shortest objective can wait.
 	Slack   time.Duration `json:"slack"`
 	Workers []WorkerLoad  `json:"workers,omitempty"`
-	Open    int           `json:"open"`
+	// Full are the queues whose jobs cannot be served at this time, with when callers are to come back.
+	Full map[job.QueueID]time.Duration `json:"full,omitempty"`
+	Open int                           `json:"open"`
 	// Clear are the wanted workers on which nothing runs any more, and nothing will be started; whoever knows what is wanted adds them.
 	Clear []WorkerID `json:"clear,omitempty"`
 }
@@ -68,9 +72,14 @@
 		}
 		ld.Workers = append(ld.Workers, load)
 	}
+	ld.Full = cr.full(now, unit)
 	for _, js := range cr.open {
 		if !js.ended() {
-			ld.Needed += cr.needed(now, js, unit)
+			needed := cr.needed(now, js, unit)
+			ld.Needed += needed
+			if js.spec.Steps[0].LongRunning || cr.laxity(now, js) >= 0 {
+				ld.Pressing += needed
+			}
 			ld.Least = max(ld.Least, js.least())
 		}
 	}
--- a/cell/place.go
+++ b/cell/place.go
@@ -216,7 +216,7 @@
 		return false
 	}
 	for count, at := range waiting {
-		if !cr.window.open() {
+		if !cr.window.open() || cr.yields(rd, st.job) {
 			return false
 		}
 		cd := cr.choose(now, st, at, rd.usable)
--- /dev/null
+++ b/cell/yield_test.go
@@ -0,0 +1,45 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// TestLateJobsYieldMachines: while other pools lack machines late jobs leave a part of the room idle, so that workers become empty; jobs that
+// can be in time, and tasks that last, do not wait, and late ones get on.
+func TestLateJobsYieldMachines(t *testing.T) {
+	bd := newBed(t, 4)
+	bd.core.run["q"] = runtime{task: time.Second, spread: firstSpread}
+	bd.add("late", bedEpoch, job.Step{Count: 100, Size: job.Size{CPUMillis: 1000, MemoryMB: 100}})
+	bd.pass(20 * time.Second)
+	bd.core.Yield(bd.now, 1, false)
+	// Sixteen tasks fit.
+	late := starts(bd.plan())
+	if len(late) < 9 || len(late) > 11 {
+		t.Fatalf("%d starts of a late job, want some six tenths of 16", len(late))
+	}
+	busy := map[WorkerID]bool{}
+	for _, st := range late {
+		busy[st.Worker] = true
+		bd.ordered(st, Done)
+	}
+	if len(busy) > 3 {
+		t.Errorf("they run on %d of 4 workers", len(busy))
+	}
+	bd.add("fresh", bedEpoch, tasks(3))
+	bd.add("lasting", bedEpoch, job.Step{Count: 1, Size: job.Size{CPUMillis: 1000, MemoryMB: 100}, LongRunning: true})
+	bd.core.Yield(bd.now, 1, false)
+	fresh := bd.wantStarts(bd.plan(), 4)
+	for _, st := range fresh {
+		if st.Task.Job == "late" {
+			t.Errorf("%v", st.Task)
+		}
+		bd.ordered(st, Done)
+	}
+	bd.pass(2 * yieldFor)
+	if rest := starts(bd.plan()); len(rest) != 16-len(late)-len(fresh) {
+		t.Errorf("%d starts once nobody lacks machines", len(rest))
+	}
+}
--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -119,6 +119,15 @@
 	hang func(table string) bool
 	// lose tells which transactions are done and not answered.
 	lose func(Tx) bool
+	// feeds counts the calls for each table's changes.
+	feeds map[string]int
+}
+
+// fed is how often a table's changes were asked for this way.
+func (sw *storeWay) fed(table string) int {
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	return sw.feeds[table]
 }
 
 func (sw *storeWay) set(change func(*storeWay)) {
@@ -164,6 +173,12 @@
 }
 
 func (sw *storeWay) Feed(ctx context.Context, table string, after int64, wait time.Duration) (Page, error) {
+	sw.set(func(sw *storeWay) {
+		if sw.feeds == nil {
+			sw.feeds = map[string]int{}
+		}
+		sw.feeds[table]++
+	})
 	if err := sw.fault(ctx); err != nil {
 		return Page{}, err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -87,6 +87,7 @@
 	pending  pendingCache
 	homes    homeCache
 	payloads *payloads
+	full     full
 	stopping atomic.Bool
 	// apart is set while all instances that live read payloads apart from jobs.
 	apart atomic.Bool
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -281,7 +281,7 @@
 	if count, ok := ow.pending("q"); ok {
 		t.Fatalf("%d jobs told by an owner that knows none yet", count)
 	}
-	if _, ok := ow.load(); ok {
+	if _, ok := ow.load(nil, false); ok {
 		t.Fatal("a load told by an owner that has not planned yet")
 	}
 }
--- /dev/null
+++ b/fleet/full.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/aspenseam/aspenseam/cell"
+	"github.com/aspenseam/aspenseam/job"
+	"github.com/aspenseam/aspenseam/peer"
+)
+
+// fullFor is how long word that a queue's jobs cannot be served counts. It comes with the question for loads, four times a second.
+const fullFor = time.Second
+
+// full holds the queues whose jobs cannot be served at this time, as the holder of the machines' duty gathers them from owners and tells all.
+type full struct{ word atomic.Pointer[fullWord] }
+
+// fullWord is what was told at one time. It is replaced, never changed.
+type fullWord struct {
+	at     time.Time
+	queues map[job.QueueID]time.Duration
+}
+
+// take notes what was told.
+func (fu *full) take(now time.Time, list []*peer.FullQueue) {
+	queues := map[job.QueueID]time.Duration{}
+	for _, fq := range list {
+		queues[job.QueueID(fq.Queue)] = time.Duration(fq.ComeBackMillis) * time.Millisecond
+	}
+	fu.word.Store(&fullWord{now, queues})
+}
+
+// comeBack is when callers of a queue are to come back whose jobs cannot be served now, 0 if they can.
+func (fu *full) comeBack(now time.Time, id job.QueueID) time.Duration {
+	word := fu.word.Load()
+	if word == nil || now.Sub(word.at) > fullFor {
+		return 0
+	}
+	if span, full := word.queues[id]; full {
+		return max(comeBack, span)
+	}
+	return 0
+}
+
+// fullQueues are those that owners told with their loads.
+func fullQueues(loads map[job.PoolID]cell.Load) []*peer.FullQueue {
+	var list []*peer.FullQueue
+	for _, ld := range loads {
+		for id, span := range ld.Full {
+			list = append(list, &peer.FullQueue{Queue: string(id), ComeBackMillis: span.Milliseconds()})
+		}
+	}
+	return list
+}
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -136,6 +136,11 @@
 		fl.logJob(event.JobRefused, sp.ID, zap.String("why", "the store does not answer"))
 		return Refused, comeBack
 	}
+	if span := fl.full.comeBack(fl.opts.Now(), sp.Queue); span > 0 {
+		fl.fig.refused.Inc(1)
+		fl.logJob(event.JobRefused, sp.ID, zap.String("why", "its pool cannot serve it in time"), zap.Duration("comeBack", span))
+		return Refused, span
+	}
 	sp.Epoch = fl.members.owner(cellName(sp.Pool)).epoch()
 	raw, err := job.EncodeSpec(fl.kept(sp))
 	if err != nil {
--- a/fleet/link.go
+++ b/fleet/link.go
@@ -13,8 +13,10 @@
 
 // Times of reaching the store.
 const (
-	// directAgain is how long calls go through a peer before the direct way is tried again.
-	directAgain = 1500 * time.Millisecond
+	// directAgain is how often the direct way is tried while calls go through a peer, and directTimeout bounds the try. It is a read of its
+	// own: a feed that tried the direct way was silent for 2.4 s of each 4 s of a cut, and with it the registrations of new workers.
+	directAgain   = time.Second
+	directTimeout = 400 * time.Millisecond
 	// quietAfter is how many calls in a row must fail before the store counts as not to be reached.
 	quietAfter = 3
 )
@@ -55,8 +57,8 @@
 	now   func() time.Time
 	fig   figures
 	mu    sync.Mutex // guards what follows
-	// detour is until when calls go through a peer first.
-	detour time.Time
+	// detour is set while calls go through a peer first.
+	detour bool
 	fails  int
 	// answered is when the store was heard of last, in either way.
 	answered time.Time
@@ -195,16 +197,34 @@
 func (ln *link) onDetour() bool {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	return ln.now().Before(ln.detour)
+	return ln.detour
 }
 
 func (ln *link) startDetour(err error) {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	if ln.detour.IsZero() {
-		ln.log.Emit(event.StoreDetour, zap.Error(err))
+	if ln.detour {
+		return
+	}
+	ln.detour = true
+	ln.log.Emit(event.StoreDetour, zap.Error(err))
+	go ln.tryDirect(ln.peers.fl.background)
+}
+
+// tryDirect ends the detour once the store answers directly.
+func (ln *link) tryDirect(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, directAgain)
+		callCtx, cancel := context.WithTimeout(ctx, directTimeout)
+		_, err := ln.store.Read(callCtx, Query{Table: tableControl, Part: machinesCell, Limit: 1})
+		cancel()
+		if !unreached(err) {
+			ln.mu.Lock()
+			ln.detour = false
+			ln.mu.Unlock()
+			return
+		}
 	}
-	ln.detour = ln.now().Add(directAgain)
 }
 
 // note counts calls that failed in both ways.
--- a/fleet/reach_test.go
+++ b/fleet/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 )
@@ -83,3 +84,37 @@
 		}
 	}
 }
+
+// TestCutOwnerLearnsOfWorkersThroughPeers: an owner that the store does not answer asks peers for registrations, and does not try the direct
+// way with them again and again, which is silent for as long as a feed may be.
+func TestCutOwnerLearnsOfWorkersThroughPeers(t *testing.T) {
+	st := newSite(t, time.Hour)
+	one := st.start("one")
+	owner := st.owner(one)
+	two := st.start("two")
+	st.eventually("the peer is known", func() bool { return two.Ready() && len(one.members.others("one")) > 0 })
+	owner.way.set(func(sw *storeWay) { sw.silent = true })
+	st.eventually("it goes through peers", owner.link.onDetour)
+	before := 0
+	for at := range 8 {
+		id := fmt.Sprintf("late%d", at)
+		st.write(Row{Table: "registry", Key: id, Value: []byte("{}")})
+		st.eventually("the owner knows "+id, func() bool {
+			for _, wk := range owner.roster.of("pool") {
+				if string(wk.ID) == id {
+					return true
+				}
+			}
+			return false
+		})
+		if at == 0 {
+			before = owner.way.fed("registry")
+		}
+		time.Sleep(directAgain / 2)
+	}
+	if tries := owner.way.fed("registry") - before; tries > 1 {
+		t.Errorf("the direct way was tried with %d feeds", tries)
+	}
+	owner.way.set(func(sw *storeWay) { sw.silent = false })
+	st.eventually("it goes the direct way again", func() bool { return !owner.link.onDetour() })
+}
--- a/fleet/sizes.go
+++ b/fleet/sizes.go
@@ -26,7 +26,8 @@
 )
 
 // loads asks every owner for its cells' loads; cells whose owners do not answer are missing.
-func (fl *Fleet) loads(ctx context.Context) map[job.PoolID]cell.Load {
+func (fl *Fleet) loads(ctx context.Context, limits map[job.PoolID]int, firm bool, full []*peer.FullQueue) map[job.PoolID]cell.Load {
+	fl.full.take(fl.opts.Now(), full)
 	found := map[job.PoolID]cell.Load{}
 	var mu sync.Mutex
 	add := func(ld cell.Load) {
@@ -35,16 +36,20 @@
 		found[ld.Pool] = ld
 	}
 	for _, ow := range fl.owned() {
-		if ld, ok := ow.load(); ok {
+		if ld, ok := ow.load(limits, firm); ok {
 			add(ld)
 		}
 	}
+	request := &peer.LoadsRequest{Full: full, Firm: firm}
+	for pool, machines := range limits {
+		request.Limits = append(request.Limits, &peer.PoolLimit{Pool: string(pool), Machines: int32(machines)})
+	}
 	ctx, cancel := context.WithTimeout(ctx, grabTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, nd := range fl.members.others(fl.opts.Name) {
 		wg.Go(func() {
-			rp, err := fl.peers.at(nd.Address).Loads(ctx, &peer.LoadsRequest{})
+			rp, err := fl.peers.at(nd.Address).Loads(ctx, request)
 			if err != nil {
 				return
 			}
@@ -60,24 +65,32 @@
 	return found
 }
 
-// load is the cell's, once it has begun to plan.
-func (ow *owner) load() (cell.Load, bool) {
+// load is the cell's, once it has begun to plan. Its pool may be told that it has more machines than are its own.
+func (ow *owner) load(limits map[job.PoolID]int, firm bool) (cell.Load, bool) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	if !ow.began || ow.lost.Load() {
 		return cell.Load{}, false
 	}
 	now := ow.fl.opts.Now()
+	if machines, limited := limits[ow.pool()]; limited {
+		ow.core.Yield(now, machines, firm)
+	}
 	ld := ow.core.Load(now)
 	ld.Clear = ow.clears(now)
 	return ld, true
 }
 
 // Loads tells the loads of the cells owned here.
-func (sv cellsServer) Loads(context.Context, *peer.LoadsRequest) (*peer.LoadsResponse, error) {
+func (sv cellsServer) Loads(_ context.Context, rq *peer.LoadsRequest) (*peer.LoadsResponse, error) {
+	sv.fl.full.take(sv.fl.opts.Now(), rq.Full)
 	rp := &peer.LoadsResponse{}
+	limits := map[job.PoolID]int{}
+	for _, lm := range rq.Limits {
+		limits[job.PoolID(lm.Pool)] = int(lm.Machines)
+	}
 	for _, ow := range sv.fl.owned() {
-		ld, ok := ow.load()
+		ld, ok := ow.load(limits, rq.Firm)
 		if !ok {
 			continue
 		}
@@ -144,6 +157,7 @@
 // size moves machines between pools as their loads want it.
 func (du *duty) size(ctx context.Context) {
 	listed := time.Time{}
+	var full []*peer.FullQueue
 	for ctx.Err() == nil {
 		sleep(ctx, sizeEvery)
 		now := du.fl.opts.Now()
@@ -155,7 +169,11 @@
 			listed = now
 			du.list(ctx, now)
 		}
-		loads := du.fl.loads(ctx)
+		du.mu.Lock()
+		limits, firm := du.sizer.Limits(), du.sizer.Firm()
+		du.mu.Unlock()
+		loads := du.fl.loads(ctx, limits, firm, full)
+		full = fullQueues(loads)
 		du.noteClear(loads)
 		for _, ld := range loads {
 			du.fl.opts.Log.Emit(event.PoolLoad, zap.String("pool", string(ld.Pool)), zap.Float64("needed", ld.Needed), zap.Float64("placed", ld.Placed), zap.Float64("lasting", ld.Lasting), zap.Duration("slack", ld.Slack), zap.Int("workers", len(ld.Workers)), zap.Int("open", ld.Open))
--- a/machine/size.go
+++ b/machine/size.go
@@ -55,6 +55,10 @@
 	// refused holds pools that do not take a kind of machine.
 	refused map[string]bool
 	trends  map[job.PoolID]*trend
+	// limits are what pools are to have while there are too few machines for all.
+	limits map[job.PoolID]int
+	// firm is set while a pool has fewer machines than the spread limits of its tasks want.
+	firm bool
 }
 
 // trend follows the growth of a pool's need.
@@ -104,6 +108,10 @@
 	reserve bool
 	known   bool
 	need    float64
+	// pressing is the part of the need that is still in time, or lasts.
+	pressing float64
+	// target is how many machines it is to have.
+	target int
 	// have counts machines that work there or are on their way.
 	have int
 	keep int
@@ -120,24 +128,26 @@
 // Plan returns the moves that are worth it now. Machines in held belong to a wave at this moment.
 func (sz *Sizer) Plan(now time.Time, pools []job.Pool, machines map[cell.MachineID]Machine, loads map[job.PoolID]cell.Load, held func(cell.MachineID) bool) []Shift {
 	views := sz.views(now, pools, machines, loads, held)
+	sz.limits = sz.allot(views)
 	var wanting, giving []*poolView
 	var reserves []*poolView
 	for _, pv := range views {
 		switch {
 		case pv.reserve:
 			reserves = append(reserves, pv)
-		case pv.known && pv.have < sz.target(pv):
+		case pv.known && pv.have < pv.target:
 			wanting = append(wanting, pv)
 		case pv.known:
 			giving = append(giving, pv)
 		}
 	}
 	slices.SortFunc(wanting, func(one, other *poolView) int {
-		return cmp.Or(cmp.Compare(one.have-sz.target(one), other.have-sz.target(other)), cmp.Compare(one.id, other.id))
+		// What spread limits want goes first: tasks that last run nowhere else.
+		return cmp.Or(cmp.Compare(min(0, one.have-one.least), min(0, other.have-other.least)), cmp.Compare(one.have-one.target, other.have-other.target), cmp.Compare(one.id, other.id))
 	})
 	var shifts []Shift
 	for _, pv := range wanting {
-		for pv.have < sz.target(pv) {
+		for pv.have < pv.target {
 			sh, ok := sz.fetch(now, pv, giving, reserves)
 			if !ok {
 				break
@@ -148,9 +158,15 @@
 	return append(shifts, sz.giveBack(now, giving, reserves)...)
 }
 
-// target is how many machines a pool is to have.
-func (sz *Sizer) target(pv *poolView) int {
-	return max(pv.keep, int(math.Ceil(pv.need*sz.opts.Margin)))
+// Limits returns what pools are to have while there are too few machines for all, as of the newest plan.
+func (sz *Sizer) Limits() map[job.PoolID]int { return sz.limits }
+
+// Firm reports whether a pool has fewer machines than the spread limits of its tasks want.
+func (sz *Sizer) Firm() bool { return sz.firm }
+
+// wanted is how many machines a pool is to have for a need.
+func (sz *Sizer) wanted(pv *poolView, need float64) int {
+	return max(pv.keep, int(math.Ceil(need*sz.opts.Margin)))
 }
 
 // views gathers what is known of each pool.
@@ -162,7 +178,9 @@
 		pv := &poolView{id: pool.ID, reserve: pool.Reserve}
 		if ld, ok := loads[pool.ID]; ok {
 			pv.known = true
-			pv.need = sz.forecast(now, pool.ID, max(ld.Needed, ld.Placed))
+			known := max(ld.Needed, ld.Placed)
+			pv.need = sz.forecast(now, pool.ID, known)
+			pv.pressing = max(ld.Pressing, ld.Lasting) + pv.need - known
 			pv.least = ld.Least
 			pv.keep = max(sz.standby(even, ld), pv.least)
 		}
@@ -249,7 +267,7 @@
 // fetch finds a machine for a pool: one that idles in another pool, which is paid for already, before one that is off.
 func (sz *Sizer) fetch(now time.Time, to *poolView, giving, reserves []*poolView) (Shift, bool) {
 	for _, from := range giving {
-		if from.have <= sz.target(from) {
+		if from.have <= from.target {
 			continue
 		}
 		if sh, ok := sz.take(now, from, to, sz.opts.LendFor); ok {
@@ -286,7 +304,7 @@
 	}
 	var shifts []Shift
 	for _, from := range giving {
-		for from.have > sz.target(from) {
+		for from.have > from.target {
 			sh, ok := sz.take(now, from, reserves[0], sz.opts.IdleFor)
 			if !ok {
 				break
