Payloads are not asked of an instance that was just silent; pools give way to tasks that last; tests of full queues

Change: a peer that was silent is passed over for payloads, the store has them; while a pool has fewer machines than its lasting tasks want, jobs in time yield as well as late ones.

--- a/cell/yield_test.go
+++ b/cell/yield_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,3 +44,34 @@
 		t.Errorf("%d starts once nobody lacks machines", len(rest))
 	}
 }
+
+// TestFullQueueIsRefused: with two machines for it, and work in time ahead for far longer than a job that came now would be of any worth, the
+// queue is full, with a time to come back; it is not while there are machines for all, and tasks that last are never refused.
+func TestFullQueueIsRefused(t *testing.T) {
+	bd := newBed(t, 4)
+	bd.core.run["q"] = runtime{task: time.Second, spread: firstSpread}
+	for at := range 10 {
+		bd.add(job.ID(fmt.Sprintf("j%d", at)), bedEpoch, tasks(40))
+	}
+	if full := bd.core.Load(bd.now).Full; len(full) != 0 {
+		t.Errorf("full %v while the pool may grow", full)
+	}
+	bd.core.Yield(bd.now, 2, false)
+	if full := bd.core.Load(bd.now).Full; full["q"] < 10*time.Second || full["q"] > 50*time.Second {
+		t.Errorf("full %v: 100 s of a machine are ahead of two", full)
+	}
+	bd.core.Yield(bd.now, 100, false)
+	if full := bd.core.Load(bd.now).Full; len(full) != 0 {
+		t.Errorf("full %v with a hundred machines", full)
+	}
+}
+
+// TestJobsInTimeYieldToTasksThatLast: those must run at any time.
+func TestJobsInTimeYieldToTasksThatLast(t *testing.T) {
+	bd := newBed(t, 4)
+	bd.add("fresh", bedEpoch, tasks(16))
+	bd.core.Yield(bd.now, 1, true)
+	if got := len(starts(bd.plan())); got < 9 || got > 11 {
+		t.Errorf("%d starts of 16", got)
+	}
+}
--- a/fleet/payloads_test.go
+++ b/fleet/payloads_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/aspenseam/aspenseam/cell"
 	"github.com/aspenseam/aspenseam/job"
+	"github.com/aspenseam/aspenseam/peer"
 )
 
 // payloadLog notes with which payload tasks are started.
@@ -126,3 +127,28 @@
 		t.Errorf("%.1f times as many peers after the queue is gone", breadth)
 	}
 }
+
+// TestQueueThatIsFullIsRefusedEverywhere: each instance refuses its jobs at once, with the time that it was told, until the word is old.
+func TestQueueThatIsFullIsRefusedEverywhere(t *testing.T) {
+	st := newSite(t, time.Hour)
+	nd := st.start("one")
+	st.owner(nd)
+	if _, err := (cellsServer{nd.Fleet}).Loads(t.Context(), &peer.LoadsRequest{Full: []*peer.FullQueue{{Queue: "q", ComeBackMillis: 4000}}}); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	if got := nd.full.comeBack(now, "other"); got != 0 {
+		t.Errorf("another queue: %v", got)
+	}
+	if got := nd.full.comeBack(now.Add(2*fullFor), "q"); got != 0 {
+		t.Errorf("%v by an old word", got)
+	}
+	if vd, wait := nd.Submit(t.Context(), spec("a")); vd != Refused || wait != 4*time.Second {
+		t.Errorf("verdict %d, come back after %v", vd, wait)
+	}
+	for at := range nd.way.mm.rows {
+		if at.Table == tableHome {
+			t.Error("the refused job is kept")
+		}
+	}
+}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -191,6 +191,13 @@
 	return answer{}, ErrRefused
 }
 
+// isBad reports whether a peer is left out at this time.
+func (pr *peers) isBad(address string) bool {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	return pr.fl.opts.Now().Before(pr.bad[address])
+}
+
 // passOver leaves a peer out for a while.
 func (pr *peers) passOver(address string) {
 	pr.mu.Lock()
