--- a/fleet/full.go
+++ b/fleet/full.go
@@ -12,6 +12,9 @@
 // fullFor is how long word that a queue's jobs cannot be served counts. It comes with the question for loads, four times a second.
 const fullFor = time.Second
 
+// comeBackMost bounds the time after which callers are told to come back: what is ahead shrinks as machines become free elsewhere.
+const comeBackMost = 10 * time.Second
+
 // full holds the queues whose jobs cannot be served at this time, as the holder of the machines' duty gathers them from owners and tells all.
 type full struct{ word atomic.Pointer[fullWord] }
 
@@ -37,7 +40,7 @@
 		return 0
 	}
 	if span, full := word.queues[id]; full {
-		return max(comeBack, span)
+		return min(comeBackMost, max(comeBack, span))
 	}
 	return 0
 }
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -20,8 +20,9 @@
 	reachSilent = 300 * time.Millisecond
 	// reachTimeout bounds one question, whose answer takes some 5 ms.
 	reachTimeout = 250 * time.Millisecond
-	// reachAsked is how many instances of other halls are asked at once.
-	reachAsked = 3
+	// reachAsked is how many instances of other halls are asked at once. Those that own nothing count as living for some seconds after they
+	// are gone: where half of them are, all that are asked are gone at one of 32 times.
+	reachAsked = 5
 )
 
 // reach tells whether this instance is cut off: neither the store nor any instance of another hall answers. While it is, callers are
