--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -81,8 +81,8 @@
 }
 
 // ownsNothing reports whether this instance owns no cell. Then it needs no registrations: workers renew theirs all the time, each renewal is
-// a row of the feed, and 63 a second of 390 bytes at each instance were two thirds of what instances read from the store. It reads them whole
-// when it takes a cell.
+// a row of the feed, and 63 a second of 390 bytes (95 workers) were more than half of what an instance without cells read from the store. It
+// reads them whole when it takes a cell.
 func (fl *Fleet) ownsNothing() bool { return len(fl.owned()) == 0 }
 
 // loaded reports whether the table has been read whole once.
--- a/serve.go
+++ b/serve.go
@@ -221,6 +221,8 @@
 			switch fg := value.(type) {
 			case metrics.Counter:
 				fmt.Fprintf(wr, "%s %d\n", name, fg.Count())
+			case metrics.Gauge:
+				fmt.Fprintf(wr, "%s %d\n", name, fg.Value())
 			case metrics.Histogram:
 				sn := fg.Snapshot()
 				fmt.Fprintf(wr, "%s.count %d\n%s.p50 %.0f\n%s.p99 %.0f\n%s.max %d\n", name, sn.Count(), name, sn.Percentile(0.5), name, sn.Percentile(0.99), name, sn.Max())
