--- a/fleet/turns_test.go
+++ b/fleet/turns_test.go
@@ -157,6 +157,7 @@
 	fl := intakeFleet{store: store}
 	for at := range count {
 		nd := New(Options{Name: fmt.Sprintf("n%d", at), Store: store, Machines: noMachines{}, Format: plainFormat{}})
+		nd.background = ctx
 		fl.nodes = append(fl.nodes, nd)
 		for _, in := range nd.intakes {
 			go in.run(ctx)
@@ -315,6 +316,7 @@
 func startDutyHolder(ctx context.Context, t *testing.T, store *turnStore) *duty {
 	t.Helper()
 	fl := New(Options{Name: "one", Store: store, Machines: noMachines{}, Format: plainFormat{}})
+	fl.background = ctx
 	version, err := store.mm.commit(Tx{Write: []Row{{Table: tableControl, Part: machinesCell, Key: ownerKey, Value: []byte("{}")}}})
 	if err != nil {
 		t.Fatal(err)
--- a/fleet/writes_test.go
+++ b/fleet/writes_test.go
@@ -100,6 +100,7 @@
 	t.Helper()
 	store := newTurnStore(60)
 	fl := New(Options{Name: "one", Store: store, Machines: noMachines{}, Format: plainFormat{}})
+	fl.background = ctx
 	version, err := store.mm.commit(Tx{Write: []Row{{Table: tableControl, Part: "pool", Key: ownerKey, Value: []byte("{}")}}})
 	if err != nil {
 		t.Fatal(err)
