Rounds of placement are cheap while starts wait; large cells keep many starts under way; pauses of peers are no queue

While the window of starts was full, each event sorted all jobs that wait; each late job that yields summed up all workers; room was kept with a copy of all workers for each task. Peers pause longer the more there are, so that starts through them took longer, which asked for more peers, up to all 97, and closed the window of starts. Change: nothing is sorted while the window is full; sums kept by the round; at most four workers kept a step and round; pauses are taken off before more peers are asked for, four times as many at most; half a start for each worker in any case, 100 ms instead of 60. Test: TestLargeCellsKeepManyStartsUnderWay.

--- a/cell/place.go
+++ b/cell/place.go
@@ -26,11 +26,15 @@
 
 // place starts tasks, the most pressing jobs first.
 func (cr *Core) place(now time.Time) {
+	if !cr.window.open() {
+		// The next answer brings the next round; until then nothing is sorted.
+		return
+	}
 	waiting := cr.waiting(now)
 	if len(waiting) == 0 {
 		return
 	}
-	rd := &round{now: now, usable: cr.usable(now)}
+	rd := cr.newRound(now)
 	if len(rd.usable) == 0 {
 		return
 	}
@@ -39,7 +43,6 @@
 			continue
 		}
 		if !cr.window.open() {
-			// The next answer brings the next round.
 			return
 		}
 		cr.placeJob(rd, js)
@@ -89,6 +92,18 @@
 	preempted   int
 	// reserved counts the workers that are kept for tasks that last.
 	reserved int
+	// free and room are the sums of the usable workers.
+	free, room size
+}
+
+// newRound looks at the workers that may get tasks now.
+func (cr *Core) newRound(now time.Time) *round {
+	rd := &round{now: now, usable: cr.usable(now)}
+	for _, cd := range rd.usable {
+		rd.free = size(job.Size(rd.free).Plus(cd.free))
+		rd.room = size(job.Size(rd.room).Plus(cd.info.Room))
+	}
+	return rd
 }
 
 // hopeless reports whether no worker can have room for a task.
@@ -228,6 +243,7 @@
 			return false
 		}
 		cr.start(now, st, at, cd, st.tasks[at].attempt+1)
+		rd.free = size(job.Size(rd.free).Minus(room))
 	}
 	st.since = time.Time{}
 	return !held
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -95,7 +95,7 @@
 
 // stops ends what is not to run any more, and counts the starts that are under way.
 func (cr *Core) stops(now time.Time) {
-	cr.window.underWay = 0
+	cr.window.underWay, cr.window.workers = 0, len(cr.list)
 	for _, wk := range cr.list {
 		for _, pl := range wk.placed {
 			if pl.phase == starting {
--- a/cell/reserve.go
+++ b/cell/reserve.go
@@ -1,15 +1,14 @@
 package cell
 
-import (
-	"cmp"
-	"slices"
+import "github.com/aspenseam/aspenseam/job"
 
-	"github.com/aspenseam/aspenseam/job"
+const (
+	// reserveShare bounds the part of the workers that is kept for tasks that last.
+	reserveShare = 0.25
+	// reserveMost is how many a step keeps in one round, each of which is a look at all workers.
+	reserveMost = 4
 )
 
-// reserveShare bounds the part of the workers that is kept for tasks that last.
-const reserveShare = 0.25
-
 // reserve keeps the workers with the most room free of other tasks until those of a step that last fit there. Short tasks are smaller: as
 // each ends, the next one takes its room, and in a full pool a task that lasts waited for 17 s for room that was there several times over.
 func (cr *Core) reserve(rd *round, st *step, count int) {
@@ -17,7 +16,10 @@
 		return
 	}
 	most := max(1, int(reserveShare*float64(len(rd.usable))))
-	for ; count > 0 && rd.reserved < most; count-- {
+	for range min(count, reserveMost) {
+		if rd.reserved >= most {
+			return
+		}
 		cd := cr.roomiest(rd, st)
 		if cd == nil {
 			return
@@ -29,17 +31,18 @@
 
 // roomiest returns the worker with the most room that could run a task of the step if it were empty.
 func (cr *Core) roomiest(rd *round, st *step) *candidate {
-	could := slices.DeleteFunc(slices.Clone(rd.usable), func(cd *candidate) bool {
+	var best *candidate
+	for _, cd := range rd.usable {
+		if cd.free == (job.Size{}) || best != nil && best.spare() >= cd.spare() {
+			continue
+		}
 		empty := *cd
 		empty.free = cd.info.Room
-		return cd.free == (job.Size{}) || !cr.allowed(rd.now, st, &empty)
-	})
-	if len(could) == 0 {
-		return nil
+		if cr.allowed(rd.now, st, &empty) {
+			best = cd
+		}
 	}
-	return slices.MaxFunc(could, func(one, other *candidate) int {
-		return cmp.Compare(one.spare(), other.spare())
-	})
+	return best
 }
 
 // spare is the free share of a worker's scarcest resource.
--- a/cell/window.go
+++ b/cell/window.go
@@ -9,13 +9,18 @@
 	// startsLeast keeps a cell going whose answers take long for a reason that its own starts have no part in. Each start carries up to
 	// 4 KB, so that this many fill a link of 250 KB/s for some 0.1 s.
 	startsLeast = 8
+	// startsWorkers is how many workers there are for each further one in any case. In a large cell peers carry starts out, 200 bytes each on the
+	// owner's link, in groups that wait for each other: answers that take 0.1 s are usual there and no sign of a queue of starts.
+	startsWorkers = 2
 	// startsMost bounds what a lost peer can leave without an answer.
 	startsMost = 2048
 	// startsQueue is how long starts may queue on their way beyond twice the shortest time seen. Looks use the same links and renew
 	// leases: with queues of 0.5 s and more they were given up, and lasting tasks lapsed (calm days on links of 250 KB/s).
-	startsQueue = 60 * time.Millisecond
-	// startsShrink is what a late answer leaves of the window, at most once in startsPause, since answers late together have one cause.
+	startsQueue = 100 * time.Millisecond
+	// startsShrink is what a late answer leaves of the window, at most once in startsPause, since answers late together have one cause; one
+	// that is later still leaves less, down to startsCut.
 	startsShrink = 0.7
+	startsCut    = 0.25
 	startsPause  = 100 * time.Millisecond
 	// startsMemory is for how long the shortest time counts, once or twice: ways change.
 	startsMemory = 15 * time.Second
@@ -27,6 +32,8 @@
 // more of them otherwise, until looks come too late to renew leases.
 type window struct {
 	size float64
+	// workers is the size of the cell.
+	workers int
 	// underWay is how many starts have no answer yet.
 	underWay int
 	// least is the shortest time of late, earlier that of the time before; since is when least began to count.
@@ -58,10 +65,10 @@
 	case span <= target && float64(wi.underWay) >= limit/2:
 		limit++
 	case span > 2*target && now.Sub(wi.shrunk) > max(startsPause, span):
-		limit *= startsShrink
+		limit *= min(startsShrink, max(startsCut, 2*float64(target)/float64(span)))
 		wi.shrunk = now
 	}
-	wi.size = min(startsMost, max(startsLeast, limit))
+	wi.size = min(startsMost, max(startsLeast, float64(wi.workers/startsWorkers), limit))
 }
 
 // target is how long a start may take.
--- a/cell/window_test.go
+++ b/cell/window_test.go
@@ -89,3 +89,16 @@
 		t.Errorf("%+v after %+v", again, st)
 	}
 }
+
+// TestLargeCellsKeepManyStartsUnderWay: answers that take long whatever the owner does leave a large cell half a start for each worker.
+func TestLargeCellsKeepManyStartsUnderWay(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	wi := &window{workers: 400}
+	for at := range 1000 {
+		wi.took(now.Add(time.Duration(at)*startsPause), 5*startsQueue+time.Duration(at%7)*startsQueue)
+		wi.took(now.Add(time.Duration(at)*startsPause), time.Millisecond)
+	}
+	if got := int(wi.limit()); got < 200 {
+		t.Errorf("%d starts may be under way", got)
+	}
+}
--- a/cell/yield.go
+++ b/cell/yield.go
@@ -29,14 +29,7 @@
 
 // inUse is the share of the usable room that is taken, of its scarcer resource.
 func (rd *round) inUse() float64 {
-	var free, room size
-	for _, cd := range rd.usable {
-		free.CPUMillis += cd.free.CPUMillis
-		free.MemoryMB += cd.free.MemoryMB
-		room.CPUMillis += cd.info.Room.CPUMillis
-		room.MemoryMB += cd.info.Room.MemoryMB
-	}
-	return 1 - min(share(free.CPUMillis, room.CPUMillis), share(free.MemoryMB, room.MemoryMB))
+	return 1 - min(share(rd.free.CPUMillis, rd.room.CPUMillis), share(rd.free.MemoryMB, rd.room.MemoryMB))
 }
 
 // full lists the queues whose jobs cannot be served at this time: with the machines that the pool is to have, the work that can still be in
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -258,11 +258,11 @@
 
 // restUntilOwner waits, not longer than an owner may, once this instance has become one.
 func (fl *Fleet) restUntilOwner(ctx context.Context, pause time.Duration) {
-	for slept := time.Duration(0); slept < pause && ctx.Err() == nil; slept += beatAgain {
+	for slept := time.Duration(0); slept < pause && ctx.Err() == nil; slept += beatEvery {
 		if slept >= fl.beatPause() {
 			return
 		}
-		sleep(ctx, min(beatAgain, pause-slept))
+		sleep(ctx, min(beatEvery, pause-slept))
 	}
 }
 
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -40,7 +40,7 @@
 	relayQuick = 30 * time.Millisecond
 	// relayWiden and relayNarrow are by how much it changes at a time, relayBroadest is the most.
 	relayWiden, relayNarrow = 1.5, 0.95
-	relayBroadest           = 32.0
+	relayBroadest           = 4.0
 	// relayLate is when an order without a result counts as silent: it may have waited in the peer's lane, and then for its worker.
 	relayLate = relayPatience + 1200*time.Millisecond
 )
@@ -54,6 +54,9 @@
 	chosen map[cell.WorkerID]*relayLink
 	// breadth is how many times as many peers are used as the number of workers asks for.
 	breadth float64
+	// pause is that after each call to a peer. Starts wait for it when they are handed over and when they are answered, so it does not count
+	// as queueing: more peers would mean longer pauses, and those more peers.
+	pause time.Duration
 }
 
 func newRelays(ow *owner) *relays {
@@ -82,7 +85,7 @@
 	workers := fl.roster.of(rs.ow.pool())
 	chosen := map[cell.WorkerID]*relayLink{}
 	var links []*relayLink
-	rs.breadth = nextBreadth(rs.breadth, rs.ow.startTime())
+	rs.breadth = nextBreadth(rs.breadth, rs.ow.startTime()-2*rs.pause)
 	if len(workers) > relayAfter || rs.breadth > 1 {
 		links = rs.candidates(now, float64(len(workers))*rs.breadth)
 	}
@@ -94,8 +97,9 @@
 	rs.mu.Lock()
 	rs.chosen = chosen
 	rs.mu.Unlock()
+	rs.pause = time.Duration(len(links)) * relaySpread
 	for _, ln := range links {
-		ln.setPause(time.Duration(len(links)) * relaySpread)
+		ln.setPause(rs.pause)
 	}
 }
 
