--- a/cell/window.go
+++ b/cell/window.go
@@ -64,8 +64,8 @@
 	switch {
 	case span <= target && float64(wi.underWay) >= limit/2:
 		limit++
-	case span > 2*target && now.Sub(wi.shrunk) > max(startsPause, span):
-		limit *= min(startsShrink, max(startsCut, 2*float64(target)/float64(span)))
+	case span > target*3/2 && now.Sub(wi.shrunk) > max(startsPause, span):
+		limit *= min(startsShrink, max(startsCut, float64(target)/float64(span)))
 		wi.shrunk = now
 	}
 	wi.size = min(startsMost, max(startsLeast, float64(wi.workers/startsWorkers), limit))
