--- a/cell/window_test.go
+++ b/cell/window_test.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"fmt"
+	goruntime "runtime"
 	"testing"
 	"time"
 
@@ -102,3 +104,26 @@
 		t.Errorf("%d starts may be under way", got)
 	}
 }
+
+// TestFullWindowCostsNoRounds: while no start is allowed, an event costs the same however many jobs wait; bytes allocated stand for what is
+// gone through, since sorting the jobs that wait copies them.
+func TestFullWindowCostsNoRounds(t *testing.T) {
+	cost := func(jobs int) uint64 {
+		bd := newBed(t, 4)
+		for at := range jobs {
+			bd.add(job.ID(fmt.Sprintf("%06d", at)), bedEpoch, job.Step{Count: 1, Size: job.Size{CPUMillis: 10, MemoryMB: 1}})
+		}
+		bd.wantStarts(bd.plan(), startsFirst)
+		var before, after goruntime.MemStats
+		goruntime.ReadMemStats(&before)
+		for range 50 {
+			bd.plan()
+		}
+		goruntime.ReadMemStats(&after)
+		return after.TotalAlloc - before.TotalAlloc
+	}
+	few, many := cost(100), cost(4000)
+	if many > 2*few {
+		t.Errorf("50 events take %d bytes with 100 jobs and %d with 4000", few, many)
+	}
+}
