--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -134,8 +134,40 @@
 	<-ps.done
 }
 
-func (ps *process) freeze() { ps.signal(syscall.SIGSTOP) }
-func (ps *process) thaw()   { ps.signal(syscall.SIGCONT) }
+// freeze stops the process and waits until all its threads stand still: the signal alone returns before, and on a busy machine a thread that
+// has not seen it yet may go on to answer a request.
+func (ps *process) freeze() {
+	ps.t.Helper()
+	ps.signal(syscall.SIGSTOP)
+	eventually(ps.t, ps.name+" stands still", ps.stopped)
+}
+
+// stopped reports whether every thread of the process is stopped, or the process has ended.
+func (ps *process) stopped() bool {
+	select {
+	case <-ps.done:
+		return true
+	default:
+	}
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", ps.cmd.Process.Pid))
+	if err != nil {
+		ps.t.Fatal(err)
+	}
+	for _, path := range stats {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			// The thread has ended meanwhile.
+			continue
+		}
+		// The state follows the name, which stands in brackets.
+		if rest := string(raw[bytes.LastIndexByte(raw, ')')+1:]); !strings.HasPrefix(rest, " T") {
+			return false
+		}
+	}
+	return true
+}
+
+func (ps *process) thaw() { ps.signal(syscall.SIGCONT) }
 
 // terminate asks the process to stop and waits until it has.
 func (ps *process) terminate() {
