--- a/cell/cell.go
+++ b/cell/cell.go
@@ -300,13 +300,13 @@
 // Cordon tells which workers get no new tasks since their machines are wanted.
 func (cr *Core) Cordon(ids map[WorkerID]bool) { cr.cordons = ids }
 
-// Clear reports whether nothing runs or may run on a worker.
+// Clear reports whether nothing runs or may run on a worker, and all that has ended there is kept.
 func (cr *Core) Clear(id WorkerID) bool {
 	if _, open := cr.unresolved[id]; open {
 		return false
 	}
 	wk, ok := cr.workers[id]
-	return !ok || len(wk.places) == 0 && len(wk.foreign) == 0 && (wk.fenced || !wk.enlisted)
+	return !ok || len(wk.places) == 0 && len(wk.foreign) == 0 && len(wk.held) == 0 && (wk.fenced || !wk.enlisted)
 }
 
 // Used lists the workers on which this owner, or an unresolved earlier one, may have started tasks.
--- a/cell/load.go
+++ b/cell/load.go
@@ -178,12 +178,13 @@
 // grabFor is how long a grabbed worker gets no tasks, unless it is gone by then.
 const grabFor = 3 * time.Second
 
-// Grab keeps idle workers free since their machines are to be moved, and returns those that are.
+// Grab keeps idle workers free since their machines are to be moved, and returns those that are. A worker whose ends are not kept yet stays:
+// it alone can tell them to a next owner.
 func (cr *Core) Grab(now time.Time, ids []WorkerID) []WorkerID {
 	var granted []WorkerID
 	for _, id := range ids {
 		wk, ok := cr.workers[id]
-		if !ok || !wk.fenced || len(wk.places) > 0 || len(wk.foreign) > 0 || wk.info.Draining || cr.cordoned(now, id) {
+		if !ok || !wk.fenced || len(wk.places) > 0 || len(wk.foreign) > 0 || len(wk.held) > 0 || wk.info.Draining || cr.cordoned(now, id) {
 			continue
 		}
 		wk.grabbed = now.Add(grabFor)
