Sight: a worker that ends with tasks on it has an event and counters of its own

Cause: decisions (816) are left out when they come often, and said nothing of what a lost worker carried. Nothing is decided by it.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -72,6 +72,8 @@
 	Why     string
 	// Age is how old the newest look at the worker was.
 	Age time.Duration
+	// Loss is set where a worker ended with tasks on it.
+	Loss *Loss
 }
 
 // Defaults of the options.
--- a/cell/look.go
+++ b/cell/look.go
@@ -26,6 +26,7 @@
 		wk.fails++
 		wk.nextLook = now.Add(min(backoffMost, backoffFirst<<min(wk.fails-1, 4)))
 		if wk.fails == 1 {
+			wk.silentAt = lk.Received
 			cr.opts.Log(Decision{What: "worker silent", Worker: wk.info.ID, Token: lk.Token, Why: lk.Outcome.String(), Age: now.Sub(wk.lookedAt)})
 		}
 	}
--- a/cell/task.go
+++ b/cell/task.go
@@ -85,6 +85,8 @@
 	checkpoint job.Checkpoint
 	place      *placement
 	notBefore  time.Time
+	// lost names the workers that ended while it was on them.
+	lost []WorkerID
 	// lostAt is when it was lost with its worker. It is started again once the ownership is confirmed later than that.
 	lostAt time.Time
 	// avoid is a worker on which it failed or was refused.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -90,8 +90,10 @@
 	nextLook  time.Time
 	lookedAt  time.Time
 	fails     int
-	clock     int64
-	clockAt   time.Time
+	// silentAt is when the first of these looks in a row had no answer.
+	silentAt time.Time
+	clock    int64
+	clockAt  time.Time
 	// leaseEnd is when, on the owner's clock, the last lease given has surely run out.
 	leaseEnd time.Time
 	// places holds the attempts on the worker by task, placed in the order in which they came. placed is replaced, never changed.
@@ -232,6 +234,9 @@
 // bury forgets a worker whose life has ended: nothing runs there any more.
 func (cr *Core) bury(now time.Time, wk *worker, why string) {
 	cr.opts.Log(Decision{What: "worker gone", Worker: wk.info.ID, Why: why, Age: now.Sub(wk.lookedAt)})
+	if len(wk.placed) > 0 {
+		cr.mourn(now, wk, why)
+	}
 	for _, pl := range wk.placed {
 		// Another owner may have taken note of its end before the worker went.
 		pl.step.tasks[pl.task.Index].lostAt = now
