Leases are judged only while some worker answers

Change: cell/hearing.go. A silent worker's lease is judged only by an owner that hears of other workers, by a look sent since it does; an idle worker is asked where nobody else would answer.

--- a/cell/bed_test.go
+++ b/cell/bed_test.go
@@ -52,6 +52,11 @@
 // plan returns the orders that are due.
 func (bd *bed) plan() []Order {
 	bd.core.Confirmed(bd.now)
+	return bd.planAsIs()
+}
+
+// planAsIs does so for an owner that is not confirmed anew.
+func (bd *bed) planAsIs() []Order {
 	orders := bd.core.Plan(bd.now)
 	for id, lk := range looksOf(orders) {
 		bd.open[id] = lk
@@ -71,6 +76,13 @@
 	}
 }
 
+// answerAll answers the looks that are open with nothing.
+func (bd *bed) answerAll() {
+	for _, lk := range bd.open {
+		bd.looked(lk, nil, nil)
+	}
+}
+
 // looked answers a look.
 func (bd *bed) looked(lk Look, running []Running, ended []End) {
 	delete(bd.open, lk.Worker)
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -161,6 +161,7 @@
 	cordons    map[WorkerID]bool
 	urgentSave bool
 	window     window
+	hearing    hearing
 	// yieldTo is how many machines the pool is to have while others lack some, until yieldUntil.
 	yieldTo    int
 	yieldFirm  bool
--- /dev/null
+++ b/cell/hearing.go
@@ -0,0 +1,48 @@
+package cell
+
+import "time"
+
+// deafAfter is how long no worker at all may have answered for an owner to doubt its own link: cells in use have several answers a second.
+const deafAfter = time.Second
+
+// hearing tells an owner that hears of nobody from a worker that is silent while others answer.
+type hearing struct {
+	// at is when the newest answer of any worker came, since is the first of those that came without a longer pause between them.
+	at, since time.Time
+}
+
+// heard notes an answer.
+func (he *hearing) heard(at time.Time) {
+	if at.Sub(he.at) > deafAfter {
+		he.since = at
+	}
+	he.at = latest(he.at, at)
+}
+
+// deaf reports whether nobody has answered for a while.
+func (he *hearing) deaf(now time.Time) bool { return now.Sub(he.at) > deafAfter }
+
+// silent reports whether a worker did not answer while others did. An owner that judged leases while a configuration of 530 KB filled its
+// link started three tasks anew that had ended well.
+func (cr *Core) silent(now time.Time, wk *worker) bool {
+	return wk.fails > 0 && !cr.hearing.deaf(now) && wk.askedAt.After(cr.hearing.since)
+}
+
+// overdue reports whether a worker's last lease has surely run out, as far as it is this owner's alone to give: only one that is confirmed
+// later than its end knows that nobody else has renewed it.
+func (cr *Core) overdue(now time.Time, wk *worker) bool {
+	return len(wk.places) > 0 && cr.confirmed.After(wk.leaseEnd) && now.Sub(wk.lookedAt) > cr.opts.Lease
+}
+
+// wantsWord reports whether an answer of any worker is wanted, to judge one that is silent.
+func (cr *Core) wantsWord(now time.Time) bool {
+	if now.Sub(cr.hearing.at) < deafAfter/2 {
+		return false
+	}
+	for _, wk := range cr.list {
+		if wk.fails > 0 && cr.overdue(now, wk) {
+			return true
+		}
+	}
+	return false
+}
--- a/cell/look.go
+++ b/cell/look.go
@@ -28,6 +28,7 @@
 		}
 	default:
 		wk.fails++
+		wk.askedAt = lk.Sent
 		wk.nextLook = now.Add(min(backoffMost, backoffFirst<<min(wk.fails-1, 4)))
 		if wk.fails == 1 {
 			wk.silentAt, wk.abrupt = lk.Received, lk.Received.Sub(lk.Sent) < lk.Wait+patienceLeast
@@ -39,6 +40,7 @@
 // sawWorker takes what a worker says of itself.
 func (cr *Core) sawWorker(now time.Time, wk *worker, lk Looked) {
 	wk.tick(lk.Clock, lk.Received)
+	cr.hearing.heard(lk.Received)
 	wk.fails, wk.lookedAt, wk.lapsed = 0, lk.Received, nil
 	wk.nextLook = now.Add(cr.opts.LookGap)
 	wk.told = max(wk.told, lk.Observed)
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -156,8 +156,9 @@
 
 // looks orders the looks that are due.
 func (cr *Core) looks(now time.Time) {
+	wantsWord := cr.wantsWord(now)
 	for _, wk := range cr.list {
-		due, wait, wanted := cr.lookDue(now, wk)
+		due, wait, wanted := cr.lookDue(now, wk, wantsWord)
 		if !wanted {
 			continue
 		}
@@ -170,7 +171,7 @@
 }
 
 // lookDue says whether and when a worker is to be looked at next, and how long it may wait for an end.
-func (cr *Core) lookDue(now time.Time, wk *worker) (due time.Time, wait time.Duration, wanted bool) {
+func (cr *Core) lookDue(now time.Time, wk *worker, wantsWord bool) (due time.Time, wait time.Duration, wanted bool) {
 	token := cr.token(wk)
 	if wk.looking && wk.lookToken == token {
 		return due, 0, false
@@ -189,6 +190,8 @@
 		return due, cr.opts.LookGap, true
 	case wk.observed > wk.told:
 		return latest(due, wk.lookedAt.Add(ackDelay)), 0, true
+	case wantsWord:
+		return due, 0, true
 	}
 	return due, 0, false
 }
--- a/cell/silence_test.go
+++ b/cell/silence_test.go
@@ -23,3 +23,22 @@
 		}
 	}
 }
+
+// A worker that stays silent while another answers has lost its tasks: they are started there once its lease is over.
+func TestLeaseIsJudgedOnceOthersAnswer(t *testing.T) {
+	bd := newBed(t, 2)
+	bd.add("a", bedEpoch, tasks(1))
+	st := bd.wantStarts(bd.plan(), 1)[0]
+	bd.ordered(st, Done)
+	bd.silence(st.Worker)
+	again := 0
+	for range 80 {
+		bd.pass(100 * time.Millisecond)
+		again += len(starts(bd.plan()))
+		bd.silence(st.Worker)
+		bd.answerAll()
+	}
+	if again != 1 {
+		t.Fatalf("%d starts beside a worker that answers, want 1", again)
+	}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -94,6 +94,8 @@
 	fails     int
 	// silentAt is when the first of these looks in a row had no answer.
 	silentAt time.Time
+	// askedAt is when the newest of them was sent.
+	askedAt time.Time
 	// abrupt means that it ended sooner than a call is waited for: the connection broke.
 	abrupt  bool
 	clock   int64
@@ -282,8 +284,7 @@
 		}
 	}
 	for _, wk := range cr.list {
-		// Only an owner that is confirmed later than the lease's end knows that nobody else has renewed it.
-		if len(wk.places) > 0 && cr.confirmed.After(wk.leaseEnd) && now.Sub(wk.lookedAt) > cr.opts.Lease {
+		if cr.overdue(now, wk) && cr.silent(now, wk) {
 			cr.lapse(now, wk)
 		}
 		_, open := cr.unresolved[wk.info.ID]
