--- a/cell/hearing.go
+++ b/cell/hearing.go
@@ -40,7 +40,7 @@
 		return false
 	}
 	for _, wk := range cr.list {
-		if wk.fails > 0 && cr.overdue(now, wk) {
+		if wk.fails > 0 && len(wk.places) > 0 && now.After(wk.leaseEnd) {
 			return true
 		}
 	}
