--- a/fleet/drain.go
+++ b/fleet/drain.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/aspenseam/aspenseam/cell"
+	"github.com/aspenseam/aspenseam/event"
 	"github.com/aspenseam/aspenseam/job"
+	"go.uber.org/zap"
 )
 
 // shortWait is how long short tasks may keep a machine that is wanted.
@@ -30,7 +32,11 @@
 	mb.mu.Lock()
 	defer mb.mu.Unlock()
 	var dr drainRow
-	if rw.Deleted || json.Unmarshal(rw.Value, &dr) != nil {
+	err := json.Unmarshal(rw.Value, &dr)
+	if !rw.Deleted && err != nil {
+		mb.log.Emit(event.ControlRowRejected, zap.String("key", rw.Key), zap.Error(err))
+	}
+	if rw.Deleted || err != nil {
 		delete(mb.drains, id)
 		return
 	}
--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -308,6 +309,9 @@
 	return machine.Refused
 }
 
+// foreignEntry is a registration that cannot be read.
+const foreignEntry = "foreign"
+
 // plainFormat has one queue and three workers, whatever the rows hold.
 type plainFormat struct{}
 
@@ -321,6 +325,9 @@
 }
 func (plainFormat) Wave(Row) (*machine.Wave, error) { return nil, nil }
 func (plainFormat) Worker(rw Row) (cell.Worker, error) {
+	if string(rw.Value) == foreignEntry {
+		return cell.Worker{}, errors.New("no registration")
+	}
 	return cell.Worker{ID: cell.WorkerID(rw.Key), Pool: "pool", Address: rw.Key, Room: job.Size{CPUMillis: 4000, MemoryMB: 4000}}, nil
 }
 func (plainFormat) WaveStatus(number int, completed bool) (Row, error) {
--- a/fleet/figures.go
+++ b/fleet/figures.go
@@ -16,8 +16,10 @@
 	accepted, refused, unknown                metrics.Counter
 	// workersLost counts the workers that ended with tasks on them, tasksLost those tasks, givenUp the jobs that crashed too many.
 	workersLost, tasksLost, givenUp metrics.Counter
-	accept                          metrics.Histogram
-	outcomes                        map[cell.Outcome]metrics.Counter
+	// registrationsRejected counts registrations that could not be read.
+	registrationsRejected metrics.Counter
+	accept                metrics.Histogram
+	outcomes              map[cell.Outcome]metrics.Counter
 	// commits are how long transactions took, in microseconds, and unanswered how many were not answered, by matter.
 	commits    map[matter]metrics.Histogram
 	unanswered map[matter]metrics.Counter
@@ -36,7 +38,7 @@
 	fg := figures{
 		claims: counter("cells.claimed"), looks: counter("workers.looks"), starts: counter("workers.starts"), saves: counter("store.saves"), storeFailed: counter("store.failed"),
 		accepted: counter("jobs.accepted"), refused: counter("jobs.refused"), unknown: counter("jobs.unknown"),
-		workersLost: counter("workers.lost"), tasksLost: counter("workers.lostTasks"), givenUp: counter("jobs.givenUp"),
+		workersLost: counter("workers.lost"), tasksLost: counter("workers.lostTasks"), givenUp: counter("jobs.givenUp"), registrationsRejected: counter("workers.registrationsRejected"),
 		accept:   histogram("jobs.acceptMicros"),
 		outcomes: map[cell.Outcome]metrics.Counter{}, commits: map[matter]metrics.Histogram{}, unanswered: map[matter]metrics.Counter{},
 		writeWait: histogram("owner.writeWaitMicros"),
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -126,7 +126,7 @@
 	fl.fig = newFigures(options.Registry)
 	fl.peers = newPeers(fl)
 	fl.link = newLink(options.Store, fl.peers, options.Log, options.Now, fl.fig)
-	fl.members = newMembers(options.Now)
+	fl.members = newMembers(options.Now, options.Log)
 	fl.control = newWatch(fl, tableControl, fl.controlPause, controlWait, fl.controlChanged)
 	fl.operator = newWatch(fl, options.Format.OperatorTable(), fixed(operatorGap), quietWait, fl.operatorChanged)
 	fl.registry = newWatch(fl, options.Format.RegistryTable(), fixed(registryGap), quietWait, fl.registryChanged)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -73,6 +73,7 @@
 // members is what the control table says of entry instances and cells.
 type members struct {
 	now    func() time.Time
+	log    *event.Logger
 	mu     sync.RWMutex // guards what follows
 	nodes  map[string]node
 	seen   map[string]time.Time
@@ -84,8 +85,8 @@
 	vacant map[string]time.Time
 }
 
-func newMembers(now func() time.Time) *members {
-	return &members{now: now, nodes: map[string]node{}, seen: map[string]time.Time{}, owners: map[string]ownerRow{}, ownedAt: map[string]time.Time{}, drains: map[cell.MachineID]drainRow{}, vacant: map[string]time.Time{}}
+func newMembers(now func() time.Time, log *event.Logger) *members {
+	return &members{now: now, log: log, nodes: map[string]node{}, seen: map[string]time.Time{}, owners: map[string]ownerRow{}, ownedAt: map[string]time.Time{}, drains: map[cell.MachineID]drainRow{}, vacant: map[string]time.Time{}}
 }
 
 // controlChanged takes changes of the control table. An answer of the store's, with rows or without, confirms what is owned.
@@ -117,7 +118,11 @@
 	mb.mu.Lock()
 	defer mb.mu.Unlock()
 	var nd node
-	if rw.Deleted || json.Unmarshal(rw.Value, &nd) != nil {
+	err := json.Unmarshal(rw.Value, &nd)
+	if !rw.Deleted && err != nil {
+		mb.log.Emit(event.ControlRowRejected, zap.String("key", rw.Key), zap.Error(err))
+	}
+	if rw.Deleted || err != nil {
 		delete(mb.nodes, name)
 		delete(mb.seen, name)
 		return
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -32,6 +32,14 @@
 	ro.workers[wk.ID] = wk
 }
 
+// get returns what is known of a worker.
+func (ro *roster) get(id cell.WorkerID) (cell.Worker, bool) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	wk, known := ro.workers[id]
+	return wk, known
+}
+
 // drop forgets a worker and returns what was known of it.
 func (ro *roster) drop(id cell.WorkerID) (cell.Worker, bool) {
 	ro.mu.Lock()
@@ -65,14 +73,32 @@
 		wk, err := fl.opts.Format.Worker(rw)
 		if err != nil {
 			fl.opts.Log.Emit(event.RegistrationRejected, zap.String("worker", rw.Key), zap.Error(err))
+			fl.fig.registrationsRejected.Inc(1)
+			fl.withdraw(id)
 			continue
 		}
 		fl.register(wk)
 	}
 }
 
+// withdraw keeps new tasks from a worker whose registration cannot be read any more: whoever wrote it, it names no worker to use.
+func (fl *Fleet) withdraw(id cell.WorkerID) {
+	if wk, known := fl.roster.get(id); known {
+		wk.Draining = true
+		fl.register(wk)
+	}
+}
+
+// register takes a registration. A worker that names another pool than before is none of the former's any more.
 func (fl *Fleet) register(wk cell.Worker) {
+	before, known := fl.roster.get(wk.ID)
 	fl.roster.put(wk)
+	if known && before.Pool != wk.Pool {
+		before.Draining = true
+		if ow := fl.ownerOf(cellName(before.Pool)); ow != nil {
+			ow.post(func(cr *cell.Core, now time.Time) { cr.Register(now, before) })
+		}
+	}
 	if ow := fl.ownerOf(cellName(wk.Pool)); ow != nil {
 		ow.post(func(cr *cell.Core, now time.Time) { cr.Register(now, wk) })
 	}
--- /dev/null
+++ b/fleet/roster_test.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/cell"
+)
+
+// newRegistry is a fleet that reads registrations, for a cell that it owns.
+func newRegistry(t *testing.T) (*Fleet, *owner) {
+	t.Helper()
+	fl := New(Options{Name: "one", Store: &storeWay{mm: newMemory()}, Machines: noMachines{}, Format: plainFormat{}})
+	ow := newOwner(fl, "pool", ownerRow{Epoch: 7}, func() {})
+	fl.owners["pool"] = ow
+	return fl, ow
+}
+
+// draining says of which workers the owner believes that they leave.
+func draining(ow *owner) map[cell.WorkerID]bool {
+	ow.step()
+	leaving := map[cell.WorkerID]bool{}
+	for _, ld := range ow.core.Load(time.Now()).Workers {
+		leaving[ld.ID] = !ld.Usable
+	}
+	return leaving
+}
+
+// An entry that cannot be read leaves its worker without new tasks at once, whatever the worker's former entry said, and the other workers as
+// they are. It is used again once its entry can be read.
+func TestWorkerWhoseEntryCannotBeReadGetsNothingNew(t *testing.T) {
+	fl, ow := newRegistry(t)
+	row := func(id, value string) Row { return Row{Table: "registry", Key: id, Value: []byte(value)} }
+	fl.registryChanged([]Row{row("w0", "{}"), row("w1", foreignEntry), row("w2", "{}")}, time.Time{})
+	if got := draining(ow); len(got) != 2 || got["w0"] || got["w2"] {
+		t.Errorf("workers %v, want w0 and w2 in use", got)
+	}
+	fl.registryChanged([]Row{row("w0", foreignEntry)}, time.Time{})
+	if got := draining(ow); !got["w0"] || got["w2"] {
+		t.Errorf("workers that leave %v, want w0 alone", got)
+	}
+	if got := fl.fig.registrationsRejected.Count(); got < 2 {
+		t.Errorf("%d rejected registrations counted", got)
+	}
+	fl.registryChanged([]Row{row("w0", "{}")}, time.Time{})
+	if got := draining(ow); got["w0"] {
+		t.Error("w0 is not used again")
+	}
+}
+
+// A worker whose entry names another pool is none of the former's any more.
+func TestWorkerThatNamesAnotherPoolIsGivenUp(t *testing.T) {
+	fl, ow := newRegistry(t)
+	fl.register(cell.Worker{ID: "w0", Pool: "pool", Address: "a"})
+	fl.register(cell.Worker{ID: "w0", Pool: "nowhere", Address: "a"})
+	if got := draining(ow); !got["w0"] {
+		t.Errorf("workers that leave %v, want w0", got)
+	}
+}
