One steady clock that counts suspension; nothing is started after standing still until confirmed; rooms that shrink

Cause: leases, claims and watches read time.Now, whose steady part stands still while the machine is suspended: a holder that woke took its lease for good. An owner that had stood still placed by rooms of before. A room below what runs in it was summed as negative room of all. The core starts, throttles and rescues nothing after a pause of 2 s between plans until ownership and registrations are as of later. Sums of free room leave out what is negative.

--- a/cell/bed_test.go
+++ b/cell/bed_test.go
@@ -52,6 +52,7 @@
 // plan returns the orders that are due.
 func (bd *bed) plan() []Order {
 	bd.core.Confirmed(bd.now)
+	bd.core.Registered(bd.now)
 	return bd.planAsIs()
 }
 
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -157,11 +157,15 @@
 	orders     []Order
 	wake       time.Time
 	// planned is when the newest plan was made.
-	planned    time.Time
-	cordons    map[WorkerID]bool
-	urgentSave bool
-	window     window
-	hearing    hearing
+	planned time.Time
+	// ahead is by how much the time of day, in which due times are, is ahead of the owner's clock.
+	ahead time.Duration
+	// wokeAt is when the owner last found that it had stood still, registered as of when it knows the registrations.
+	wokeAt, registered time.Time
+	cordons            map[WorkerID]bool
+	urgentSave         bool
+	window             window
+	hearing            hearing
 	// yieldTo is how many machines the pool is to have while others lack some, until yieldUntil.
 	yieldTo    int
 	yieldFirm  bool
@@ -255,6 +259,29 @@
 	}
 }
 
+// TimeOfDay tells how the time of day stands to the owner's clock.
+func (cr *Core) TimeOfDay(now, day time.Time) { cr.ahead = day.Sub(now) }
+
+// Registered tells as of when the registrations are known.
+func (cr *Core) Registered(at time.Time) { cr.registered = latest(cr.registered, at) }
+
+// stalledAfter is from which pause between two plans on an owner has stood still: it plans four times a second at least. Rooms and states
+// that it knows may be older then than the users allow for.
+const stalledAfter = 2 * time.Second
+
+// noteStall notes whether the owner has stood still.
+func (cr *Core) noteStall(now time.Time) {
+	if gap := now.Sub(cr.planned); !cr.planned.IsZero() && gap > stalledAfter {
+		cr.wokeAt = now
+		cr.opts.Log(Decision{What: "owner stood still", Why: gap.String()})
+	}
+}
+
+// awake reports whether what the owner decides by is newer than the last time it stood still: its ownership and the registrations.
+func (cr *Core) awake() bool {
+	return !cr.confirmed.Before(cr.wokeAt) && !cr.registered.Before(cr.wokeAt)
+}
+
 // Configure puts queues in force; those that are gone keep their last policy for the jobs they have accepted.
 func (cr *Core) Configure(queues []job.Queue) {
 	for _, qu := range queues {
--- a/cell/learn.go
+++ b/cell/learn.go
@@ -112,7 +112,7 @@
 // from is when the time of a job, or of its newest run, began.
 func (js *jobState) from() time.Time {
 	if js.spec.Timed() {
-		return js.spec.Due(max(0, js.nextRun-1))
+		return js.dueAt(max(0, js.nextRun-1))
 	}
 	return js.seen
 }
--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -364,6 +364,7 @@
 	}
 	if md.row(ow) && md.now.After(ow.cutStore) {
 		ow.core.Confirmed(md.now)
+		ow.core.Registered(md.now)
 	}
 	for _, od := range ow.core.Plan(md.now) {
 		md.carry(ow, od)
--- a/cell/place.go
+++ b/cell/place.go
@@ -102,7 +102,8 @@
 func (cr *Core) newRound(now time.Time) *round {
 	rd := &round{now: now, usable: cr.usable(now), trials: cr.trials()}
 	for _, cd := range rd.usable {
-		rd.free = size(job.Size(rd.free).Plus(cd.free))
+		// A room that has shrunk below what runs in it takes nothing from the others.
+		rd.free = size(job.Size(rd.free).Plus(cd.free.OrNone()))
 		rd.room = size(job.Size(rd.room).Plus(cd.info.Room))
 	}
 	return rd
@@ -165,7 +166,7 @@
 		return js.only
 	}
 	for js.nextRun < js.spec.Runs() {
-		if at := js.spec.Due(js.nextRun); !at.IsZero() && at.After(now) {
+		if at := js.dueAt(js.nextRun); !at.IsZero() && at.After(now) {
 			cr.wakeAt(at)
 			break
 		}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -21,6 +21,7 @@
 	if cr.lost {
 		return nil
 	}
+	cr.noteStall(now)
 	cr.orders, cr.wake, cr.planned = nil, now.Add(idleWake), now
 	cr.expire(now)
 	for _, wk := range cr.list {
@@ -29,7 +30,7 @@
 	cr.forget()
 	cr.enlist()
 	cr.stops(now)
-	if cr.mayRenew(now) {
+	if cr.mayRenew(now) && cr.awake() {
 		cr.place(now)
 		cr.rescue(now)
 		cr.share(now)
--- a/cell/task.go
+++ b/cell/task.go
@@ -14,6 +14,7 @@
 
 // jobState is one job.
 type jobState struct {
+	core      *Core
 	spec      *job.Spec
 	seen      time.Time
 	cancelled bool
@@ -102,6 +103,15 @@
 // ended reports whether nothing more is to be started for the job.
 func (js *jobState) ended() bool { return js.cancelled || js.state.Ended() }
 
+// dueAt is the due time of a run on the owner's clock; zero for a job without due times.
+func (js *jobState) dueAt(run int) time.Time {
+	due := js.spec.Due(run)
+	if due.IsZero() {
+		return due
+	}
+	return due.Add(-js.core.ahead)
+}
+
 // shown is the state that callers see: an end only once the store has it.
 func (js *jobState) shown() job.State {
 	switch {
@@ -120,7 +130,7 @@
 	if _, known := cr.jobs[sd.Spec.ID]; known {
 		return
 	}
-	js := &jobState{spec: sd.Spec, seen: now, cancelled: sd.Cancelled, runs: map[int]*run{}, left: sd.Spec.Runs(), version: sd.Version, before: sd.Progress}
+	js := &jobState{core: cr, spec: sd.Spec, seen: now, cancelled: sd.Cancelled, runs: map[int]*run{}, left: sd.Spec.Runs(), version: sd.Version, before: sd.Progress}
 	js.carried = sd.Spec.Epoch < cr.epoch
 	if pg := sd.Progress; pg != nil {
 		js.begun = len(pg.Done) > 0 || len(pg.Failed) > 0 || len(pg.RunsDone) > 0
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/alitto/pond/v2"
 	"github.com/aspenseam/aspenseam/cell"
+	"github.com/aspenseam/aspenseam/clock"
 	"github.com/aspenseam/aspenseam/event"
 	"github.com/aspenseam/aspenseam/job"
 	"github.com/aspenseam/aspenseam/machine"
@@ -66,6 +67,8 @@
 	// Bytes counts what the instance's connections move; nil if nothing does.
 	Bytes *Bytes
 	Now   func() time.Time
+	// Day is the time of day, in which jobs have due times.
+	Day func() time.Time
 }
 
 // Fleet is one entry instance's part in running the jobs.
@@ -109,8 +112,14 @@
 	if options.Sizes == (machine.SizeOptions{}) {
 		options.Sizes = machine.DefaultSizes()
 	}
+	if options.Day == nil {
+		options.Day = time.Now
+		if options.Now != nil {
+			options.Day = options.Now
+		}
+	}
 	if options.Now == nil {
-		options.Now = time.Now
+		options.Now = clock.Now
 	}
 	if options.Log == nil {
 		options.Log = event.Nop()
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -215,6 +215,9 @@
 	events := ow.events
 	ow.events = nil
 	now := ow.fl.opts.Now()
+	ow.core.TimeOfDay(now, ow.fl.opts.Day())
+	_, registered := ow.fl.registry.healthy()
+	ow.core.Registered(registered)
 	for _, ev := range events {
 		ev(ow.core, now)
 	}
--- a/job/job.go
+++ b/job/job.go
@@ -74,6 +74,11 @@
 	return Size{sz.CPUMillis - other.CPUMillis, sz.MemoryMB - other.MemoryMB, sz.Accelerators - other.Accelerators}
 }
 
+// OrNone is the size with nothing in place of what is negative.
+func (sz Size) OrNone() Size {
+	return Size{max(0, sz.CPUMillis), max(0, sz.MemoryMB), max(0, sz.Accelerators)}
+}
+
 // Step is a stage of a job: a number of equal tasks.
 type Step struct {
 	Count    int           `json:"count"`
--- a/tcp/conn.go
+++ b/tcp/conn.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/aspenseam/aspenseam/clock"
 	"golang.org/x/sys/unix"
 )
 
@@ -26,10 +27,10 @@
 var (
 	keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeMost}
 	// start is the origin of a steady clock that goes on while the process stands still.
-	start = time.Now()
+	start = clock.Now()
 )
 
-func sinceStart() time.Duration { return time.Since(start) }
+func sinceStart() time.Duration { return clock.Now().Sub(start) }
 
 // setUserTimeout bounds how long bytes may stay unacknowledged.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -66,7 +67,7 @@
 	}
 	until := int64(0)
 	if deadline, ok := ctx.Deadline(); ok {
-		until = int64(deadline.Sub(start))
+		until = int64(sinceStart() + time.Until(deadline))
 	}
 	waits, _ := ctx.Value(quietKey{}).(*quiet)
 	cn.quiet.Store(waits)
