--- a/cell/cell.go
+++ b/cell/cell.go
@@ -295,7 +295,7 @@
 	if in.Draining && !wk.info.Draining {
 		cr.opts.Log(Decision{What: "worker drains", Worker: in.ID})
 	}
-	wk.info, wk.listed, wk.unlistedAt = in, true, time.Time{}
+	wk.info, wk.listed, wk.known, wk.unlistedAt = in, true, true, time.Time{}
 }
 
 // Unregister tells that a worker's registration is gone, which alone does not prove that it is.
@@ -312,20 +312,32 @@
 	}
 }
 
-// missingAfter is how long a worker must have been silent before it is asked for elsewhere.
-const missingAfter = 500 * time.Millisecond
+const (
+	// missingAfter is how long a worker must have been silent before it is asked for elsewhere.
+	missingAfter = 500 * time.Millisecond
+	// brokenAfter is how long one must be whose connections broke: its port is dead, so that most likely its life has ended. What ran there
+	// waits for that word.
+	brokenAfter = 50 * time.Millisecond
+	// brokenFor is for how long after that the question is pressing.
+	brokenFor = 2 * time.Second
+)
 
-// Missing lists the workers that do not answer while something runs, or may run, on them.
-func (cr *Core) Missing(now time.Time) []WorkerID {
-	var ids []WorkerID
+// Missing lists the workers that do not answer while something runs, or may run, on them; pressing tells that the connections of one of them
+// broke just now.
+func (cr *Core) Missing(now time.Time) (ids []WorkerID, pressing bool) {
 	for _, wk := range cr.list {
-		id := wk.info.ID
-		_, open := cr.unresolved[id]
-		if wk.fails > 0 && now.Sub(wk.lookedAt) > missingAfter && (open || len(wk.places) > 0) {
-			ids = append(ids, id)
+		_, open := cr.unresolved[wk.info.ID]
+		if wk.fails == 0 || !open && len(wk.places) == 0 && len(wk.lapsed) == 0 {
+			continue
 		}
+		broke := wk.abrupt && now.Sub(wk.silentAt) > brokenAfter
+		if !broke && now.Sub(wk.lookedAt) <= missingAfter {
+			continue
+		}
+		ids = append(ids, wk.info.ID)
+		pressing = pressing || broke && now.Sub(wk.silentAt) < brokenFor
 	}
-	return ids
+	return ids, pressing
 }
 
 // Cordon tells which workers get no new tasks since their machines are wanted.
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -41,8 +41,10 @@
 	doubtful int
 	// suspect means that the task may have caused one of them.
 	suspect bool
-	// trialOn is the worker on which an earlier owner tried it, as far as this owner has not met it.
-	trialOn WorkerID
+	// gen is the state of the job from which on they are kept.
+	gen int
+	// leftOn is the worker on which an earlier owner had it in trial, or when that fell silent, as far as this owner has not met it.
+	leftOn WorkerID
 }
 
 // number is how many there are, with those in doubt.
@@ -55,7 +57,7 @@
 	// answered means that the worker had answered its start, abrupt that a call broke off: the worker ended at that moment, while the
 	// attempt ran there. A worker that only fell silent may have ended later.
 	answered, abrupt bool
-	// prompt means that it came right after the start of a suspect.
+	// prompt means that it came right after the start of a suspect, and not in the same instant as the end of another worker of its rack.
 	prompt bool
 }
 
@@ -78,7 +80,9 @@
 		silent = wk.silentAt
 	}
 	victims := wk.victims()
-	charged := !cr.leaves(now, wk) && !cr.cordoned(now, wk.info.ID)
+	// One whose registration went before it fell silent was leaving without saying so.
+	left := wk.info.Draining || wk.known && !wk.listed && wk.unlistedAt.Before(silent)
+	charged := !left && !cr.cordoned(now, wk.info.ID)
 	loss := Loss{Tasks: len(victims), Charged: charged}
 	var newest time.Time
 	for _, pl := range victims {
@@ -90,16 +94,47 @@
 		cr.opts.Log(Decision{What: "worker lost with tasks", Worker: wk.info.ID, Why: why, Age: now.Sub(wk.lookedAt), Loss: &loss})
 	}
 	if !charged {
+		wk.unhold(now)
 		return
 	}
 	fresh := silent.Sub(newest) <= suspectWindow
 	for _, pl := range victims {
 		cr.charge(now, pl, evidence{
-			suspect: !fresh || silent.Sub(pl.ordered) <= suspectWindow, alone: cr.alone(wk, pl, silent),
-			answered: !pl.acked.IsZero(), abrupt: wk.abrupt, prompt: pl.onTrial() && silent.Sub(pl.acked) <= suspectWindow,
+			suspect: !fresh || silent.Sub(pl.ordered) <= suspectWindow, alone: cr.alone(wk, victims, pl, silent),
+			answered: !pl.acked.IsZero(), abrupt: wk.abrupt, prompt: pl.onTrial() && silent.Sub(pl.acked) <= suspectWindow && !cr.withOthers(wk, silent),
 		})
 	}
-	cr.chargeTrials(now, wk.info.ID)
+	cr.chargeLeft(now, wk.info.ID)
+	wk.unhold(now)
+}
+
+// accuseFor is for how long after its lease's end it is asked whether a silent worker lives, since its end would be a loss of its tasks.
+const accuseFor = 30 * time.Second
+
+// holdFor is how long a suspect waits at most for word of the worker on which it was tried and that fell silent: it may be one more.
+const holdFor = 10 * time.Second
+
+// hold keeps a suspect whose trial ended in silence from being tried elsewhere before it is known what came of the worker.
+func (cr *Core) hold(now time.Time, pl *placement) {
+	if ts := &pl.step.tasks[pl.task.Index]; pl.trial && ts.lost.number() >= lossesAlone {
+		ts.notBefore = now.Add(holdFor)
+	}
+}
+
+// unhold lets the suspects go on that waited for word of a worker.
+func (wk *worker) unhold(now time.Time) {
+	for _, pl := range wk.lapsed {
+		if ts := &pl.step.tasks[pl.task.Index]; ts.notBefore.After(now) {
+			ts.notBefore = now
+		}
+		pl.step.job.settled = false
+	}
+	wk.lapsed = nil
+}
+
+// accused reports whether the end of a silent worker would still be a loss of tasks.
+func (wk *worker) accused(now time.Time) bool {
+	return len(wk.lapsed) > 0 && now.Sub(wk.leaseEnd) < accuseFor
 }
 
 // victims are the attempts that a worker's end may have ended: those on it, and those that were given up while it was silent.
@@ -114,23 +149,25 @@
 }
 
 // alone reports whether nothing but an attempt, or its gang, can have ended its worker.
-func (cr *Core) alone(wk *worker, pl *placement, silent time.Time) bool {
+func (cr *Core) alone(wk *worker, victims []*placement, pl *placement, silent time.Time) bool {
 	if len(wk.foreign) > 0 {
 		return false
 	}
-	for _, other := range wk.placed {
+	for _, other := range victims {
 		if other != pl && !(pl.step.spec.Gang && other.step == pl.step) && !other.settledIn(silent) {
 			return false
 		}
 	}
-	for _, mate := range cr.list {
-		if mate != wk && mate.info.Rack == wk.info.Rack && mate.fails > 0 && mate.silentAt.Sub(silent).Abs() < sameInstant {
-			return false
-		}
-	}
 	return true
 }
 
+// withOthers reports whether another worker of its rack fell silent in the same instant as a worker, which makes the rack the likely cause.
+func (cr *Core) withOthers(wk *worker, silent time.Time) bool {
+	return slices.ContainsFunc(cr.list, func(mate *worker) bool {
+		return mate != wk && mate.info.Rack == wk.info.Rack && mate.fails > 0 && mate.silentAt.Sub(silent).Abs() < sameInstant
+	})
+}
+
 // settledIn reports whether an attempt is one of a task that lasts, and has run for so long that it is not what ends a worker.
 func (pl *placement) settledIn(now time.Time) bool {
 	return pl.step.spec.LongRunning && !pl.acked.IsZero() && now.Sub(pl.acked) > lastingYoung
@@ -143,13 +180,14 @@
 		return
 	}
 	ts.lost.add(pl.worker.info.ID, ev)
+	cr.change(js)
+	cr.urgentSave, ts.lost.gen = true, js.gen
 	if pl.step.spec.Gang {
 		// Which of its members ended the worker is not known, and they start together only.
 		for at := range pl.step.tasks {
 			pl.step.tasks[at].lost = ts.lost
 		}
 	}
-	cr.change(js)
 	if ts.lost.proof(ev) {
 		cr.giveUp(now, pl, ts.lost.workers)
 	}
@@ -186,16 +224,16 @@
 	cr.opts.Log(Decision{What: "job failed", Task: pl.task, Attempt: pl.attempt, Worker: pl.worker.info.ID, Why: "workers end under its task", Lost: slices.Clone(lost)})
 }
 
-// chargeTrials charges tasks that an earlier owner had on trial on a worker whose life has ended.
-func (cr *Core) chargeTrials(now time.Time, id WorkerID) {
+// chargeLeft charges tasks that an earlier owner had left on a worker whose life has ended.
+func (cr *Core) chargeLeft(now time.Time, id WorkerID) {
 	for _, js := range cr.open {
-		if !js.tried {
+		if !js.abandoned {
 			continue
 		}
 		for _, rn := range js.runs {
 			for _, st := range rn.steps {
 				for at := range st.tasks {
-					if ts := &st.tasks[at]; ts.lost.trialOn == id && ts.place == nil {
+					if ts := &st.tasks[at]; ts.lost.leftOn == id && ts.place == nil {
 						tk := job.Task{Job: js.spec.ID, Run: st.run, Step: st.at, Index: at}
 						cr.charge(now, &placement{task: tk, step: st, worker: &worker{info: Worker{ID: id}}, attempt: ts.attempt}, evidence{suspect: true, answered: true})
 					}
@@ -208,32 +246,34 @@
 // onTrial reports whether an attempt of a suspect has not proved yet that its worker outlives it.
 func (pl *placement) onTrial() bool { return pl.trial && !pl.passed }
 
-// proved notes that a worker answers with an attempt of a suspect running there for long enough.
+// proved notes that a worker answers with an attempt running there, which clears a suspect of suspicion in time.
 func (cr *Core) proved(pl *placement, sent time.Time) {
-	if !pl.onTrial() || pl.acked.IsZero() {
-		return
-	}
 	ts := &pl.step.tasks[pl.task.Index]
-	span := probation
-	switch number := ts.lost.number(); {
-	case number >= lossesAlone && pl.step.spec.LongRunning:
-		span = lastingYoung
-	case number > lossesAlone:
+	if !pl.trial || pl.acked.IsZero() {
 		return
-	case number == lossesAlone:
-		span = longProbation
 	}
-	if sent.Sub(pl.acked) < span {
-		return
+	ran := sent.Sub(pl.acked)
+	if span, ends := ts.lost.probation(); ends && ran >= span {
+		pl.passed = true
 	}
-	pl.passed = true
-	if pl.step.spec.LongRunning {
-		// What lasts sees many workers end in its time; each is judged by itself.
-		ts.lost = losses{}
+	if pl.step.spec.LongRunning && ran >= lastingYoung && ts.lost.suspect {
+		// What lasts sees many workers end in its time, so that old losses do not count against it.
+		pl.passed, ts.lost = true, losses{}
 		cr.change(pl.step.job)
 	}
 }
 
+// probation is how long a suspect is on trial; after the third loss as long as it runs.
+func (lo losses) probation() (span time.Duration, ends bool) {
+	switch number := lo.number(); {
+	case number < lossesAlone:
+		return probation, true
+	case number == lossesAlone:
+		return longProbation, true
+	}
+	return 0, false
+}
+
 // trials counts the suspects that have a worker to themselves.
 func (cr *Core) trials() int {
 	count := 0
@@ -321,9 +361,31 @@
 	return true
 }
 
+// fell has a next owner know what was on a worker whose connections broke: it may have ended, and nobody else can tell what it ran.
+func (cr *Core) fell(wk *worker) {
+	if !wk.abrupt {
+		return
+	}
+	for _, pl := range wk.placed {
+		cr.change(pl.step.job)
+	}
+	cr.urgentSave = true
+}
+
+// leftOn is the worker on which a next owner may find a task gone; empty if it is safe there.
+func (ts *taskState) leftOn() WorkerID {
+	if pl := ts.place; pl != nil {
+		if pl.trial || pl.worker.fails > 0 && pl.worker.abrupt {
+			return pl.worker.info.ID
+		}
+		return ""
+	}
+	return ts.lost.leftOn
+}
+
 // kept is what is to be known of losses to a next owner.
-func (lo losses) kept(trialOn WorkerID) job.Losses {
-	kept := job.Losses{Sure: lo.sure, Doubtful: lo.doubtful, Suspect: lo.suspect, TrialOn: string(trialOn)}
+func (lo losses) kept(leftOn WorkerID) job.Losses {
+	kept := job.Losses{Sure: lo.sure, Doubtful: lo.doubtful, Suspect: lo.suspect, LeftOn: string(leftOn)}
 	for _, id := range lo.workers {
 		kept.Workers = append(kept.Workers, string(id))
 	}
@@ -332,7 +394,7 @@
 
 // recalled is what a former owner kept of losses.
 func recalled(kept job.Losses) losses {
-	lo := losses{sure: kept.Sure, doubtful: kept.Doubtful, suspect: kept.Suspect, trialOn: WorkerID(kept.TrialOn)}
+	lo := losses{sure: kept.Sure, doubtful: kept.Doubtful, suspect: kept.Suspect, leftOn: WorkerID(kept.LeftOn)}
 	for _, id := range kept.Workers {
 		lo.workers = append(lo.workers, WorkerID(id))
 	}
--- a/cell/look.go
+++ b/cell/look.go
@@ -32,6 +32,7 @@
 		wk.nextLook = now.Add(min(backoffMost, backoffFirst<<min(wk.fails-1, 4)))
 		if wk.fails == 1 {
 			wk.silentAt, wk.abrupt = lk.Received, lk.Received.Sub(lk.Sent) < lk.Wait+patienceLeast
+			cr.fell(wk)
 			cr.opts.Log(Decision{What: "worker silent", Worker: wk.info.ID, Token: lk.Token, Why: lk.Outcome.String(), Age: now.Sub(wk.lookedAt)})
 		}
 	}
@@ -41,7 +42,8 @@
 func (cr *Core) sawWorker(now time.Time, wk *worker, lk Looked) {
 	wk.tick(lk.Clock, lk.Received)
 	cr.hearing.heard(lk.Received)
-	wk.fails, wk.lookedAt, wk.lapsed = 0, lk.Received, nil
+	wk.fails, wk.lookedAt = 0, lk.Received
+	wk.unhold(now)
 	wk.nextLook = now.Add(cr.opts.LookGap)
 	wk.told = max(wk.told, lk.Observed)
 	first := !wk.fenced
@@ -125,7 +127,7 @@
 	}
 	ts.attempt = max(ts.attempt, rn.Attempt)
 	pl := &placement{task: rn.Task, step: st, worker: wk, attempt: rn.Attempt, phase: running, token: cr.token(wk), room: st.spec.Room(), ordered: now, acked: now, pace: 100, trial: ts.lost.suspect}
-	ts.lost.trialOn = ""
+	ts.lost.leftOn = ""
 	if st.spec.BestEffort {
 		// How far an earlier owner throttled it is not known.
 		pl.pace = paceUnknown
--- a/cell/place.go
+++ b/cell/place.go
@@ -208,6 +208,11 @@
 			held = true
 			continue
 		}
+		if ts.lost.number() >= lossesAlone && ts.lost.gen > st.job.savedGen {
+			// What is known of it is kept before it is started once more, so that a next owner goes on from there.
+			held = true
+			continue
+		}
 		if ts.notBefore.After(now) {
 			cr.wakeAt(ts.notBefore)
 			held = true
--- a/cell/task.go
+++ b/cell/task.go
@@ -45,8 +45,8 @@
 	stepsLeft int
 	chainGen  int
 	chainAt   time.Time
-	// tried means that an earlier owner may have had a task of it on trial.
-	tried bool
+	// abandoned means that an earlier owner left a task of it on a worker that may have ended.
+	abandoned bool
 	// archived means that the table of open jobs has it no more.
 	archived bool
 }
@@ -256,7 +256,7 @@
 		ts.failed, ts.attempt = pg.Failed[key], max(pg.Attempts[key], job.Attempt(len(pg.Failed[key])))
 		if lost, ok := pg.Lost[key]; ok {
 			ts.lost = recalled(lost)
-			st.job.tried = st.job.tried || lost.TrialOn != ""
+			st.job.abandoned = st.job.abandoned || lost.LeftOn != ""
 		}
 		if bits.Has(at) {
 			ts.done = true
@@ -279,7 +279,7 @@
 func (cr *Core) ended(now time.Time, wk *worker, st *step, en End) {
 	ts := &st.tasks[en.Task.Index]
 	ts.attempt = max(ts.attempt, en.Attempt)
-	ts.lost.trialOn = ""
+	ts.lost.leftOn = ""
 	pl := wk.places[en.Task]
 	if pl != nil && pl.attempt == en.Attempt {
 		if en.How == EndDone {
@@ -427,15 +427,11 @@
 			}
 			pg.Failed[key] = slices.Clone(ts.failed)
 		}
-		if ts.lost.suspect || ts.lost.number() > 0 {
+		if leftOn := ts.leftOn(); leftOn != "" || ts.lost.suspect || ts.lost.number() > 0 {
 			if pg.Lost == nil {
 				pg.Lost = map[string]job.Losses{}
 			}
-			trialOn := ts.lost.trialOn
-			if ts.place != nil && ts.place.trial {
-				trialOn = ts.place.worker.info.ID
-			}
-			pg.Lost[key] = ts.lost.kept(trialOn)
+			pg.Lost[key] = ts.lost.kept(leftOn)
 		}
 		if ts.attempt > 1 {
 			if pg.Attempts == nil {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -78,8 +78,10 @@
 
 // worker is what the owner knows of a worker.
 type worker struct {
-	info       Worker
-	listed     bool
+	info   Worker
+	listed bool
+	// known means that this owner has read a registration of it.
+	known      bool
 	unlistedAt time.Time
 	enlisted   bool
 	enlisting  bool
@@ -288,7 +290,7 @@
 			cr.lapse(now, wk)
 		}
 		_, open := cr.unresolved[wk.info.ID]
-		if !wk.listed && !open && len(wk.places) == 0 && !wk.unlistedAt.IsZero() && now.Sub(wk.unlistedAt) > unlistedFor && (wk.fails > 0 || now.Sub(wk.unlistedAt) > 3*unlistedFor) {
+		if !wk.listed && !open && len(wk.places) == 0 && !wk.accused(now) && !wk.unlistedAt.IsZero() && now.Sub(wk.unlistedAt) > unlistedFor && (wk.fails > 0 || now.Sub(wk.unlistedAt) > 3*unlistedFor) {
 			cr.remove(wk)
 		}
 	}
@@ -299,6 +301,7 @@
 	wk.lapsed = append(wk.lapsed, wk.placed...)
 	for _, pl := range wk.placed {
 		cr.release(now, pl, "its lease has run out")
+		cr.hold(now, pl)
 	}
 	wk.raise()
 	wk.fenced = false
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -395,9 +395,11 @@
 
 // Times of asking which lives have ended.
 const (
-	censusEvery = 400 * time.Millisecond
-	// censusAgain is the least time between two lists, since each has its price.
-	censusAgain = 1200 * time.Millisecond
+	censusEvery = 100 * time.Millisecond
+	// censusAgain is the least time between two lists, since each has its price; censusPressing where connections of a worker broke, whose
+	// tasks wait.
+	censusAgain    = 1200 * time.Millisecond
+	censusPressing = 500 * time.Millisecond
 )
 
 // census asks for the list of machines while workers are silent: a life that no machine runs any more has ended, and with it
@@ -408,9 +410,13 @@
 		sleep(ctx, censusEvery)
 		now := ow.fl.opts.Now()
 		ow.mu.Lock()
-		missing := ow.core.Missing(now)
+		missing, pressing := ow.core.Missing(now)
 		ow.mu.Unlock()
-		if len(missing) == 0 || now.Sub(last) < censusAgain {
+		gap := censusAgain
+		if pressing {
+			gap = censusPressing
+		}
+		if len(missing) == 0 || now.Sub(last) < gap {
 			continue
 		}
 		last = now
--- a/job/progress.go
+++ b/job/progress.go
@@ -35,8 +35,8 @@
 	Doubtful int      `json:"doubtful,omitempty"`
 	// Suspect means that the task may have caused it.
 	Suspect bool `json:"suspect,omitempty"`
-	// TrialOn is the worker on which it was started anew by itself; empty for none.
-	TrialOn string `json:"trialOn,omitempty"`
+	// LeftOn is the worker on which it was in trial, or when that fell silent; empty for none.
+	LeftOn string `json:"leftOn,omitempty"`
 }
 
 // Bits is a set of small numbers, kept as base64 text.
