--- a/explain.go
+++ b/explain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"os"
 
 	"github.com/aspenseam/aspenseam/event"
@@ -11,39 +12,59 @@
 )
 
 // errNoQuestion says that explain was not told what to explain.
-var errNoQuestion = errors.New("explain needs --loss, the only question that it answers")
+var errNoQuestion = errors.New("explain needs one question, --loss or --job ID")
 
-// explainCommand reads logs and says what late, refused and unanswered jobs waited for.
+// question reads logs and answers.
+type question interface {
+	Read(rd io.Reader) error
+	Report(wr io.Writer) error
+}
+
+// explainCommand reads logs and says what late, refused and unanswered jobs waited for, or what became of one job.
 func explainCommand() command {
 	sub := flaggy.NewSubcommand("explain")
-	sub.Description = "Say from the logs of all instances, or some of them, what late and refused jobs waited for: aspenseam explain --loss entry1.log entry2.log"
-	var loss bool
-	var path string
+	sub.Description = "Say from the logs of all instances, or some of them, what jobs waited for, or what became of one: aspenseam explain --loss entry1.log entry2.log; aspenseam explain --job f7c6fd7df91e3185 entry1.log entry2.log"
+	var loss, asJSON bool
+	var path, id string
 	sub.Bool(&loss, "", "loss", "for each window and cell: jobs in time, late and not ended, and what those waited for")
+	sub.String(&id, "", "job", "id of a job: what was decided of it and of the workers on which its tasks were, by time")
+	sub.Bool(&asJSON, "", "json", "with --job: the lines as they are, as a JSON list")
 	sub.AddPositionalValue(&path, "log", 1, true, "file with lines of logs; further files may follow")
 	return command{sub, func(context.Context) error {
-		if !loss {
+		paths := append([]string{path}, flaggy.TrailingArguments...)
+		switch {
+		case loss == (id != "") || loss && asJSON:
 			return errNoQuestion
+		case loss:
+			return explain(event.NewLoss(), paths)
+		case asJSON:
+			return explain(listedStory{event.NewStory(id)}, paths)
 		}
-		return explainLoss(append([]string{path}, flaggy.TrailingArguments...))
+		return explain(event.NewStory(id), paths)
 	}}
 }
 
-func explainLoss(paths []string) error {
-	ls := event.NewLoss()
+// listedStory is a story that is told as a JSON list.
+type listedStory struct{ *event.Story }
+
+// Report writes the lines.
+func (ls listedStory) Report(wr io.Writer) error { return ls.JSON(wr) }
+
+// explain has a question answered from logs.
+func explain(qs question, paths []string) error {
 	for _, path := range paths {
-		if err := readLog(ls, path); err != nil {
+		if err := readLog(qs, path); err != nil {
 			return err
 		}
 	}
-	return ls.Report(os.Stdout)
+	return qs.Report(os.Stdout)
 }
 
-func readLog(ls *event.Loss, path string) error {
+func readLog(qs question, path string) error {
 	fi, err := os.Open(path)
 	if err != nil {
 		return eris.Wrap(err, "read log")
 	}
 	defer fi.Close()
-	return eris.Wrap(ls.Read(fi), "read log "+path)
+	return eris.Wrap(qs.Read(fi), "read log "+path)
 }
