--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -407,3 +407,38 @@
 		})
 	}
 }
+
+// A task was on a worker that ended right after its start, and is on another, by itself, that ends in the same instant as two more: that proves
+// nothing. If it ends alone the job is given up.
+func TestWorkersThatEndInOneInstantProveNothing(t *testing.T) {
+	for others, want := range map[int]job.State{0: job.Failed, 2: job.Completed} {
+		cs := newCrashes(t, 8, func(job.Task) (time.Duration, bool) { return 0, false })
+		// Every worker has something to look at.
+		cs.add("lasting", bedEpoch, job.Step{Count: 8, Size: job.Size{CPUMillis: 1000, MemoryMB: 100}, LongRunning: true, SpreadLimit: 1})
+		cs.run(6 * time.Second)
+		cs.add("a", bedEpoch, tasks(1))
+		task := job.Task{Job: "a"}
+		for start := 1; start <= 2; start++ {
+			for range 300 {
+				if cs.starts[task] == start {
+					break
+				}
+				cs.run(crashTick)
+			}
+			ended := 0
+			for _, id := range slices.Sorted(maps.Keys(cs.workers)) {
+				fr := cs.workers[id]
+				if fr.runs[task] != nil {
+					cs.crash(fr)
+				} else if start == 2 && ended < others {
+					cs.crash(fr)
+					ended++
+				}
+			}
+		}
+		cs.run(5 * time.Second)
+		if got := cs.state("a"); got != want {
+			t.Errorf("beside %d others the job is %s, want %s", others, got, want)
+		}
+	}
+}
