Operators list, pause and resume queues on the platform

For queues whose jobs crash workers: nothing of a paused queue is started or accepted, at any instance and under any owner.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -142,8 +142,10 @@
 	// resumed is when the store was last heard of again after a while without.
 	resumed time.Time
 	// Lost is set once another owner has been met; nothing more is ordered.
-	lost    bool
-	queues  map[job.QueueID]job.Queue
+	lost   bool
+	queues map[job.QueueID]job.Queue
+	// paused are the queues of which nothing is started.
+	paused  map[job.QueueID]bool
 	jobs    map[job.ID]*jobState
 	open    []*jobState
 	workers map[WorkerID]*worker
@@ -291,6 +293,9 @@
 	}
 }
 
+// Pause tells of which queues nothing is to be started; what runs goes on. The map is not changed any more.
+func (cr *Core) Pause(queues map[job.QueueID]bool) { cr.paused = queues }
+
 // Register tells of a worker as it is registered now.
 func (cr *Core) Register(now time.Time, in Worker) {
 	wk := cr.worker(in.ID)
--- a/cell/load.go
+++ b/cell/load.go
@@ -74,7 +74,7 @@
 	}
 	ld.Full = cr.full(now, unit)
 	for _, js := range cr.open {
-		if !js.ended() {
+		if !js.ended() && !cr.paused[js.spec.Queue] {
 			needed := cr.needed(now, js, unit)
 			ld.Needed += needed
 			if js.spec.Steps[0].LongRunning || cr.laxity(now, js) >= 0 {
--- a/cell/place.go
+++ b/cell/place.go
@@ -63,7 +63,7 @@
 func (cr *Core) waiting(now time.Time) []*jobState {
 	var list []*jobState
 	for _, js := range cr.open {
-		if !js.ended() && (!js.settled || js.spec.Timed() && js.nextRun < js.spec.Runs()) {
+		if !js.ended() && !cr.paused[js.spec.Queue] && (!js.settled || js.spec.Timed() && js.nextRun < js.spec.Runs()) {
 			list = append(list, js)
 		}
 	}
--- a/cell/preempt_test.go
+++ b/cell/preempt_test.go
@@ -103,3 +103,16 @@
 		t.Errorf("the cell is to plan again after %v, %v is the longest", early, idleWake)
 	}
 }
+
+// Of a paused queue nothing is started and no machine asked for; it goes on where it was.
+func TestPausedQueueStartsNothing(t *testing.T) {
+	bd := newBed(t, 2)
+	bd.core.Pause(map[job.QueueID]bool{"q": true})
+	bd.add("a", bedEpoch, tasks(3))
+	bd.wantStarts(bd.plan(), 0)
+	if needed := bd.core.Load(bd.now).Needed; needed != 0 {
+		t.Errorf("%v machines are asked for", needed)
+	}
+	bd.core.Pause(map[job.QueueID]bool{})
+	bd.wantStarts(bd.plan(), 3)
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -82,6 +82,8 @@
 	PayloadMissing       = Kind{837, "payload of a job is not to be had", zapcore.WarnLevel, "Nothing if it passes; tasks of the job named wait until the instance that accepted it or the store answers."}
 	WorkerLost           = Kind{838, "worker ended with tasks on it", zapcore.WarnLevel, "Nothing if it is rare. If the field before rises, a task ends the workers that start it."}
 	JobGivenUp           = Kind{839, "job given up: workers end under its task", zapcore.ErrorLevel, "Tell the owner of the queue: the task named crashed the workers in the field lost."}
+	QueuePaused          = Kind{840, "queue paused by an operator", zapcore.WarnLevel, "Nothing of it is started and none of its jobs accepted until it is resumed; why says the reason."}
+	QueueResumed         = Kind{841, "queue goes on", zapcore.InfoLevel, "Nothing."}
 	JobKnown             = Kind{829, "job was accepted before", zapcore.InfoLevel, "Nothing; the caller's second try is the same job."}
 )
 
@@ -98,5 +100,5 @@
 	CellClaimed, CellLoaded, CellLost, CellReleased, ClaimFailed, ReleaseFailed, SaveFailed, CellDecided,
 	JobAccepted, JobRefused, JobCancelled, AdviceFailed, PeerSilent, CarryRejected,
 	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown, RelayLost, HallCutOff, HallReached,
-	StoreSlow, JobUnsure, WriteWaited, BytesMoved, PayloadMissing, WorkerLost, JobGivenUp,
+	StoreSlow, JobUnsure, WriteWaited, BytesMoved, PayloadMissing, WorkerLost, JobGivenUp, QueuePaused, QueueResumed,
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -99,6 +99,8 @@
 	relay *relay
 	// readers read the parts of tables.
 	readers pond.Pool
+	// paused holds the queues that an operator has paused.
+	paused atomic.Pointer[map[job.QueueID]bool]
 	// errands numbers the orders that peers are given.
 	errands atomic.Uint64
 	// background ends when the process does.
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -141,6 +141,11 @@
 		fl.logJob(event.JobRefused, sp.ID, zap.String("why", "its pool cannot serve it in time"), zap.Duration("comeBack", span))
 		return Refused, span
 	}
+	if fl.pausedQueues()[sp.Queue] {
+		fl.fig.refused.Inc(1)
+		fl.logJob(event.JobRefused, sp.ID, zap.String("why", "its queue is paused by an operator"), zap.Duration("comeBack", pausedFor))
+		return Refused, pausedFor
+	}
 	sp.Epoch = fl.members.owner(cellName(sp.Pool)).epoch()
 	raw, err := job.EncodeSpec(fl.kept(sp))
 	if err != nil {
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -103,6 +103,8 @@
 			drained = true
 		case strings.HasPrefix(rw.Key, wavePrefix):
 			fl.duty.takeRecord(rw)
+		case strings.HasPrefix(rw.Key, pausePrefix):
+			fl.takePause(rw)
 		}
 	}
 	for _, ow := range fl.owned() {
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -94,6 +94,7 @@
 		ow.core.Register(claimed, wk)
 	}
 	ow.core.Enlisted(row.Workers)
+	ow.core.Pause(fl.pausedQueues())
 	ow.mu.Unlock()
 	go ow.jobs.run(ctx)
 	go ow.write(ctx)
--- /dev/null
+++ b/fleet/pause.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/aspenseam/aspenseam/cell"
+	"github.com/aspenseam/aspenseam/event"
+	"github.com/aspenseam/aspenseam/job"
+	"go.uber.org/zap"
+)
+
+// pausePrefix is that of the keys of paused queues in the control table, pausePart the part in which they lie.
+const (
+	pausePrefix = "pause/"
+	pausePart   = "pause"
+)
+
+// pausedFor is when callers of a paused queue are told to come back: an operator takes minutes.
+const pausedFor = 30 * time.Second
+
+// ErrNotPaused says that a queue that is to go on is not paused.
+var ErrNotPaused = errors.New("the queue is not paused")
+
+// Pause is an operator's word that nothing of a queue is started and none of its jobs accepted; what runs goes on.
+type Pause struct {
+	Queue job.QueueID `json:"queue"`
+	By    string      `json:"by"`
+	Why   string      `json:"why"`
+	At    time.Time   `json:"at"`
+}
+
+func pausePlace(queue job.QueueID) Place {
+	return Place{tableControl, pausePart, pausePrefix + string(queue)}
+}
+
+// PauseQueue writes an operator's word. A queue that is paused already gets the new reason.
+func PauseQueue(ctx context.Context, st Store, ps Pause) error {
+	raw, err := json.Marshal(ps)
+	if err != nil {
+		return err
+	}
+	at := pausePlace(ps.Queue)
+	_, err = st.Commit(ctx, Tx{Write: []Row{{Table: at.Table, Part: at.Part, Key: at.Key, Value: raw}}})
+	return err
+}
+
+// ResumeQueue takes the word back.
+func ResumeQueue(ctx context.Context, st Store, queue job.QueueID) error {
+	list, err := PausedQueues(ctx, st)
+	if err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(list, func(ps Pause) bool { return ps.Queue == queue }) {
+		return ErrNotPaused
+	}
+	_, err = st.Commit(ctx, Tx{Remove: []Place{pausePlace(queue)}})
+	return err
+}
+
+// PausedQueues lists the queues that are paused, by name.
+func PausedQueues(ctx context.Context, st Store) ([]Pause, error) {
+	pg, err := st.Read(ctx, Query{Table: tableControl, Part: pausePart})
+	if err != nil {
+		return nil, err
+	}
+	list := []Pause{}
+	for _, rw := range pg.Rows {
+		var ps Pause
+		if err := json.Unmarshal(rw.Value, &ps); err != nil {
+			return nil, err
+		}
+		list = append(list, ps)
+	}
+	return list, nil
+}
+
+// takePause takes the row of a paused queue. One that cannot be read pauses the queue that its key names.
+func (fl *Fleet) takePause(rw Row) {
+	queue := job.QueueID(strings.TrimPrefix(rw.Key, pausePrefix))
+	ps := Pause{Queue: queue}
+	if err := json.Unmarshal(rw.Value, &ps); err != nil && !rw.Deleted {
+		fl.opts.Log.Emit(event.ControlRowRejected, zap.String("key", rw.Key), zap.Error(err))
+	}
+	paused := maps.Clone(fl.pausedQueues())
+	if rw.Deleted {
+		delete(paused, queue)
+		fl.opts.Log.Emit(event.QueueResumed, zap.String("queue", string(queue)))
+	} else {
+		paused[queue] = true
+		fl.opts.Log.Emit(event.QueuePaused, zap.String("queue", string(queue)), zap.String("by", ps.By), zap.String("why", ps.Why))
+	}
+	fl.paused.Store(&paused)
+	for _, ow := range fl.owned() {
+		ow.post(func(cr *cell.Core, _ time.Time) { cr.Pause(paused) })
+	}
+}
+
+// pausedQueues are the queues that an operator has paused; the map is replaced, never changed.
+func (fl *Fleet) pausedQueues() map[job.QueueID]bool {
+	if paused := fl.paused.Load(); paused != nil {
+		return *paused
+	}
+	return map[job.QueueID]bool{}
+}
