Trials of suspects apart from the losses that they follow; a mere reset writes nothing

Tasks on a worker whose connections broke are noted in their rows after the second broken call: after a reset of connections the second one is answered, and hundreds of rows would have been written for nothing.

--- a/cell/look.go
+++ b/cell/look.go
@@ -27,18 +27,23 @@
 			wk.nextLook = now
 		}
 	default:
-		wk.fails++
-		wk.askedAt = lk.Sent
-		wk.nextLook = now.Add(min(backoffMost, backoffFirst<<min(wk.fails-1, 4)))
-		if wk.fails == 1 {
-			wk.silentAt, wk.abrupt = lk.Received, lk.Received.Sub(lk.Sent) < lk.Wait+patienceLeast
-			if wk.abrupt {
-				cr.brokeOff(wk.info.ID, wk.silentAt)
-			}
-			cr.fell(wk)
-			cr.opts.Log(Decision{What: "worker silent", Worker: wk.info.ID, Token: lk.Token, Why: lk.Outcome.String(), Age: now.Sub(wk.lookedAt)})
+		cr.unanswered(now, wk, lk)
+	}
+}
+
+// unanswered takes a look that had no answer.
+func (cr *Core) unanswered(now time.Time, wk *worker, lk Looked) {
+	wk.fails++
+	wk.askedAt = lk.Sent
+	wk.nextLook = now.Add(min(backoffMost, backoffFirst<<min(wk.fails-1, 4)))
+	if wk.fails == 1 {
+		wk.silentAt, wk.abrupt = lk.Received, lk.Received.Sub(lk.Sent) < lk.Wait+patienceLeast
+		if wk.abrupt {
+			cr.brokeOff(wk.info.ID, wk.silentAt)
 		}
+		cr.opts.Log(Decision{What: "worker silent", Worker: wk.info.ID, Token: lk.Token, Why: lk.Outcome.String(), Age: now.Sub(wk.lookedAt)})
 	}
+	cr.fell(wk)
 }
 
 // sawWorker takes what a worker says of itself.
--- /dev/null
+++ b/cell/trial.go
@@ -0,0 +1,182 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// Trials of suspects.
+const (
+	// probation is how long a suspect is the only new task on its worker; the answer to a look within it tells that it lives.
+	probation = 150 * time.Millisecond
+	// lossesAlone is from how many lost workers on a suspect has an empty worker to itself, for longProbation; after one more as long as it runs.
+	lossesAlone   = 2
+	longProbation = 2 * time.Second
+	// trialShare is the part of the workers that suspects may have to themselves at once, so that the others go on with their work.
+	trialShare = 0.25
+	// trialSpare is the part that they may have where nothing else is to be started. With the other bound alone 30 of 41 workers were idle while
+	// the suspects of 106 jobs waited.
+	trialSpare = 0.75
+	// trialsStep is how many tasks of one step may be on trial at once: where all of them crash their workers, two losses are enough to know.
+	trialsStep = 2
+	// weightCompany keeps suspects from workers with other tasks; it only ranks.
+	weightCompany = 5.0
+	// accuseFor is for how long after its lease's end it is asked whether a silent worker lives, since its end would be a loss of its tasks.
+	accuseFor = 30 * time.Second
+	// holdFor is how long a suspect waits at most for word of the worker on which it was tried and that fell silent: it may be one more.
+	holdFor = 10 * time.Second
+)
+
+// onTrial reports whether an attempt of a suspect has not proved yet that its worker outlives it.
+func (pl *placement) onTrial() bool { return pl.trial && !pl.passed }
+
+// proved notes that a worker answers with an attempt running there, which clears a suspect of suspicion in time.
+func (cr *Core) proved(pl *placement, sent time.Time) {
+	ts := &pl.step.tasks[pl.task.Index]
+	if !pl.trial || pl.acked.IsZero() {
+		return
+	}
+	ran := sent.Sub(pl.acked)
+	if span, ends := ts.lost.probation(); ends && ran >= span {
+		pl.passed = true
+	}
+	if pl.step.spec.LongRunning && ran >= lastingYoung && ts.lost.suspect {
+		// What lasts sees many workers end in its time, so that old losses do not count against it.
+		pl.passed, ts.lost = true, losses{}
+		cr.change(pl.step.job)
+	}
+}
+
+// probation is how long a suspect is on trial: if workers ended under it a while after its start, it is longer from the second loss on, and as
+// long as it runs after the third.
+func (lo losses) probation() (span time.Duration, ends bool) {
+	switch number := lo.number(); {
+	case number < lossesAlone || !lo.late:
+		return probation, true
+	case number == lossesAlone:
+		return longProbation, true
+	}
+	return 0, false
+}
+
+// trials counts the suspects that have a worker to themselves.
+func (cr *Core) trials() int {
+	count := 0
+	for _, wk := range cr.list {
+		if wk.fails == 0 && wk.onTrial() {
+			count++
+		}
+	}
+	return count
+}
+
+// onTrial reports whether a suspect has the worker to itself.
+func (wk *worker) onTrial() bool {
+	if wk.trials == 0 {
+		return false
+	}
+	return slices.ContainsFunc(wk.placed, (*placement).onTrial)
+}
+
+// placeSuspects starts suspects of a step, each on a worker that gets nothing else until it has proved itself. It reports whether none is
+// left waiting.
+func (cr *Core) placeSuspects(rd *round, st *step, waiting []int) bool {
+	for count, at := range waiting {
+		if !cr.window.open() || cr.yields(rd, st.job) {
+			return false
+		}
+		if rd.trials >= rd.trialsMost() || st.onTrial() >= trialsStep {
+			rd.untried = rd.untried || st.onTrial() < trialsStep
+			return false
+		}
+		cd := cr.choose(rd.now, st, at, rd.usable)
+		if cd == nil {
+			cr.empty(rd, st, len(waiting)-count)
+			return false
+		}
+		cr.start(rd.now, st, at, cd, st.tasks[at].attempt+1)
+		rd.free = size(job.Size(rd.free).Minus(st.spec.Room()))
+		cd.free = job.Size{}
+		rd.trials++
+	}
+	return true
+}
+
+// trialsMost is how many suspects may have a worker to themselves at once.
+func (rd *round) trialsMost() int {
+	share := trialShare
+	if rd.spare {
+		share = trialSpare
+	}
+	return max(1, int(share*float64(len(rd.usable))))
+}
+
+// onTrial counts the tasks of a step that are on trial.
+func (st *step) onTrial() int {
+	count := 0
+	for at := range st.tasks {
+		if pl := st.tasks[at].place; pl != nil && pl.onTrial() {
+			count++
+		}
+	}
+	return count
+}
+
+// empty keeps the workers with the least on them free of other tasks until suspects that need one to themselves find it empty.
+func (cr *Core) empty(rd *round, st *step, count int) {
+	for range min(count, trialsStep) {
+		if rd.trials >= rd.trialsMost() {
+			return
+		}
+		cd := cr.roomiest(rd, st)
+		if cd == nil {
+			return
+		}
+		cd.free = job.Size{}
+		rd.trials++
+	}
+}
+
+// suits reports whether a suspect may be started on a worker: beside tasks that have proved themselves after its first loss, beside none
+// but those that last after that.
+func (ts *taskState) suits(now time.Time, st *step, cd *candidate) bool {
+	if !ts.lost.suspect {
+		return true
+	}
+	for _, other := range cd.placed {
+		switch {
+		case st.spec.Gang && other.step == st:
+		case other.settledIn(now):
+		case ts.lost.number() >= lossesAlone:
+			return false
+		case other.phase != running || other.acked.IsZero() || now.Sub(other.acked) < probation:
+			return false
+		}
+	}
+	return true
+}
+
+// hold keeps a suspect whose trial ended in silence from being tried elsewhere before it is known what came of the worker.
+func (cr *Core) hold(now time.Time, pl *placement) {
+	if ts := &pl.step.tasks[pl.task.Index]; pl.trial && ts.lost.number() >= lossesAlone {
+		ts.notBefore = now.Add(holdFor)
+	}
+}
+
+// unhold lets the suspects go on that waited for word of a worker.
+func (wk *worker) unhold(now time.Time) {
+	for _, pl := range wk.lapsed {
+		if ts := &pl.step.tasks[pl.task.Index]; ts.notBefore.After(now) {
+			ts.notBefore = now
+		}
+		pl.step.job.settled = false
+	}
+	wk.lapsed = nil
+}
+
+// accused reports whether the end of a silent worker would still be a loss of tasks.
+func (wk *worker) accused(now time.Time) bool {
+	return len(wk.lapsed) > 0 && now.Sub(wk.leaseEnd) < accuseFor
+}
