--- a/worker/placer_test.go
+++ b/worker/placer_test.go
@@ -23,11 +23,14 @@
 	// bad workers fail everything; bad jobs fail everywhere.
 	badWorkers map[table.InstanceID]bool
 	badJobs    map[worker.JobID]bool
-	used       func(worker.JobID) worker.Size
-	reports    []worker.Report
-	broken     []string
-	starts     int
-	began      map[worker.JobID]time.Time
+	// lost workers answer nothing, and crashing jobs make the worker that starts them one of those.
+	lost     map[table.InstanceID]bool
+	crashing map[worker.JobID]bool
+	used     func(worker.JobID) worker.Size
+	reports  []worker.Report
+	broken   []string
+	starts   int
+	began    map[worker.JobID]time.Time
 }
 
 // run is one task on a worker.
@@ -37,7 +40,7 @@
 }
 
 func newFarm() *farm {
-	return &farm{tasks: map[worker.JobID]*run{}, attempts: map[worker.JobID]worker.Attempt{}, badWorkers: map[table.InstanceID]bool{}, badJobs: map[worker.JobID]bool{}, began: map[worker.JobID]time.Time{}, used: func(worker.JobID) worker.Size { return worker.Size{CPUMillis: 500, MemoryMB: 500} }}
+	return &farm{tasks: map[worker.JobID]*run{}, attempts: map[worker.JobID]worker.Attempt{}, badWorkers: map[table.InstanceID]bool{}, badJobs: map[worker.JobID]bool{}, lost: map[table.InstanceID]bool{}, crashing: map[worker.JobID]bool{}, began: map[worker.JobID]time.Time{}, used: func(worker.JobID) worker.Size { return worker.Size{CPUMillis: 500, MemoryMB: 500} }}
 }
 
 // Start takes a task, or renews its lease; a lease that lies in the past and an older attempt are refused.
@@ -45,6 +48,12 @@
 	fm.mu.Lock()
 	defer fm.mu.Unlock()
 	fm.settle()
+	if fm.crashing[tk.Job] && !fm.lost[tk.Instance] {
+		fm.lose(tk.Instance)
+	}
+	if fm.lost[tk.Instance] {
+		return fmt.Errorf("no answer")
+	}
 	if tk.Attempt < fm.attempts[tk.Job] || !time.Now().Before(tk.LeaseUntil) {
 		return fmt.Errorf("refused")
 	}
@@ -77,6 +86,23 @@
 	return nil
 }
 
+// lose ends a worker with all that runs there; another life serves under its name after a minute.
+func (fm *farm) lose(id table.InstanceID) {
+	fm.lost[id] = true
+	for job, rn := range fm.tasks {
+		if rn.task.Instance == id {
+			delete(fm.tasks, job)
+			// Its next life knows nothing of it.
+			fm.attempts[job]--
+		}
+	}
+	time.AfterFunc(time.Minute, func() {
+		fm.mu.Lock()
+		defer fm.mu.Unlock()
+		fm.lost[id] = false
+	})
+}
+
 func (fm *farm) report(rn *run, state worker.TaskState) {
 	tk := rn.task
 	fm.reports = append(fm.reports, worker.Report{Job: tk.Job, Attempt: tk.Attempt, Instance: tk.Instance, State: state, Used: fm.used(tk.Job)})
@@ -255,6 +281,28 @@
 	})
 }
 
+// A worker that is lost lists no end. Its jobs stayed on it for ever, since their leases were renewed in the table though nobody answered; and
+// one that crashed each worker was placed again without a bound. Now they go on elsewhere once their lease is over, and that one is given up.
+func TestJobsOfLostWorkersGoOnAndTheCauseIsGivenUp(t *testing.T) {
+	inShop(t, 6, func(ctx context.Context, sh *shop) {
+		sh.fm.crashing["j003"] = true
+		var ids []worker.JobID
+		for range 6 {
+			ids = append(ids, sh.submit(nil))
+		}
+		sh.placer(ctx, "e1")
+		time.Sleep(3 * time.Hour)
+		for _, id := range ids {
+			if want, jb := map[bool]worker.JobState{true: worker.JobFailed, false: worker.JobDone}[id == "j003"], sh.job(id); jb.State != want {
+				t.Errorf("%s is %s on %s in attempt %d, want %s", id, jb.State, jb.Instance, jb.Attempt, want)
+			}
+		}
+		if jb := sh.job("j003"); jb.Attempt > 4 {
+			t.Errorf("the job that crashes workers was placed %d times", jb.Attempt)
+		}
+	})
+}
+
 func TestWaveOfCancellationsTakesFewWrites(t *testing.T) {
 	inShop(t, 4, func(ctx context.Context, sh *shop) {
 		var ids []worker.JobID
