The placer lets leases of workers that do not answer run out, and gives up what they were lost under

Cause: renew extended a lease in the table whether or not the worker answered, so that the jobs of a lost worker never went elsewhere; a start without an answer was repeated each round; nothing bounded the placements of a job that crashes its workers. Change: no renewal while a worker has not answered for the attempt; a start is repeated once; workers lost under a job are kept in its row (lostOn), such a job gets a worker to itself, and is failed after three.

--- a/fleet/dutylease_test.go
+++ b/fleet/dutylease_test.go
@@ -347,3 +347,31 @@
 		t.Fatal("the machine is not named after its announcement was lost")
 	}
 }
+
+// TestNothingIsOrderedAfterTheClockLeapt: the machine was suspended for longer than the lease, and its holder wakes between the look at the
+// lease and the order.
+func TestNothingIsOrderedAfterTheClockLeapt(t *testing.T) {
+	st := newSite(t, time.Millisecond)
+	now := time.Now()
+	clock := now
+	fl := New(Options{Name: "one", Address: "127.0.0.1:1", Store: &storeWay{mm: st.mm}, Workers: st.workers, Machines: noMachines{}, Format: plainFormat{}, Now: func() time.Time { return clock }})
+	du := fl.duty
+	du.row = ownerRow{Holder: "one", Incarnation: fl.opts.Incarnation}
+	du.keeper, du.tasks = machine.NewKeeper(now, 0), &sync.WaitGroup{}
+	du.cancel = func() {}
+	du.lease.ordered = map[cell.MachineID]*orderedMachine{}
+	given := 0
+	give := func(context.Context) machine.Outcome {
+		given++
+		return machine.Done
+	}
+	du.announce(context.Background(), []cell.MachineID{"m1", "m2"})
+	du.order(context.Background(), "m1", give)
+	if given != 1 {
+		t.Fatalf("%d orders under a lease", given)
+	}
+	clock = clock.Add(5 * time.Second)
+	if du.leased(fl.opts.Now()) || du.order(context.Background(), "m2", give) != machine.Refused || given != 1 {
+		t.Error("an order was given after the clock leapt over the lease's end")
+	}
+}
--- a/worker/place.go
+++ b/worker/place.go
@@ -19,6 +19,8 @@
 	// Taken and Busy are what running jobs were granted.
 	Taken Size
 	Busy  int
+	// Alone says that a job under which workers were lost has it to itself, so that a further loss takes no other with it.
+	Alone bool
 }
 
 // Placement puts a job on a worker.
@@ -67,7 +69,7 @@
 		if wk == nil {
 			continue
 		}
-		wk.Taken, wk.Busy = wk.Taken.plus(need), wk.Busy+1
+		wk.take(jb, need)
 		pc.Used[jb.Team]++
 		free--
 		oc.Placements = append(oc.Placements, Placement{Job: jb, Instance: wk.ID, Granted: need})
@@ -75,6 +77,15 @@
 	return oc
 }
 
+// take puts a job on the worker.
+func (vw *View) take(jb *Job, size Size) {
+	vw.Taken, vw.Busy = vw.Taken.plus(size), vw.Busy+1
+	vw.Alone = vw.Alone || len(jb.LostOn) > 0
+}
+
+// alone reports whether a job that has to be by itself, or one that must not disturb such a one, cannot go to the worker.
+func (vw *View) alone(jb *Job) bool { return vw.Alone || len(jb.LostOn) > 0 && vw.Busy > 0 }
+
 // order returns the queue: urgent first, then the teams that use the least of their quotas, then by age.
 func order(pc Placing) []*Job {
 	queue := slices.Clone(pc.Queue)
@@ -120,7 +131,7 @@
 	var chosen *View
 	least := 0.0
 	for _, wk := range pc.Workers {
-		if !wk.Usable || wk.Busy >= wk.Slots || pc.Judge.Quarantined(wk.ID, pc.Now) || slices.Contains(jb.FailedOn, wk.ID) {
+		if !wk.Usable || wk.Busy >= wk.Slots || pc.Judge.Quarantined(wk.ID, pc.Now) || slices.Contains(jb.FailedOn, wk.ID) || wk.alone(jb) {
 			continue
 		}
 		free := wk.Total.minus(wk.Taken)
--- a/worker/placer.go
+++ b/worker/placer.go
@@ -99,7 +99,9 @@
 	cancels map[string]Cancellation
 	quotas  map[TeamID]int
 	// told holds the attempts that their workers have been told of by this placer; the others are told again in each round.
-	told    map[JobID]Attempt
+	told map[JobID]Attempt
+	// vain counts the starts in a row that had no answer.
+	vain    map[JobID]int
 	learner *Learner
 	judge   *Judge
 	// lease is the version of the lease row under which this placer works; 0 without a lease.
@@ -127,7 +129,7 @@
 func (pl *Placer) reset() {
 	pl.seen, pl.lease = 0, 0
 	pl.jobs, pl.cancels, pl.quotas = map[JobID]*Job{}, map[string]Cancellation{}, map[TeamID]int{}
-	pl.told = map[JobID]Attempt{}
+	pl.told, pl.vain = map[JobID]Attempt{}, map[JobID]int{}
 	pl.learner, pl.judge = NewLearner(), NewJudge()
 }
 
--- a/worker/steps.go
+++ b/worker/steps.go
@@ -11,6 +11,13 @@
 	"go.uber.org/zap"
 )
 
+const (
+	// lostMost is how many workers may be lost under a job, one after the other, before it is given up. Each takes two leases to notice.
+	lostMost = 3
+	// vainMost is how often a start without an answer is repeated: it may be what ends the worker. What came of it shows at the lease's end.
+	vainMost = 2
+)
+
 // settle takes the ends of tasks over into their jobs.
 func (pl *Placer) settle(ctx context.Context, reports []Report) error {
 	var changed []*Job
@@ -26,14 +33,23 @@
 	for _, jb := range pl.jobs {
 		if jb.State == JobRunning && pl.opts.Now().After(jb.LeaseUntil.Add(pl.opts.TaskLease)) {
 			// Its worker stopped it by itself when the lease ran out, and the margin covers clocks that differ.
-			next := *jb
-			next.State, next.Instance = JobQueued, ""
-			changed = append(changed, &next)
+			changed = append(changed, lostWith(jb))
 		}
 	}
 	return pl.write(ctx, changed)
 }
 
+// lostWith returns a job after the loss of its worker: a worker that it crashed lists no end, so that losses are what bounds its placements.
+func lostWith(jb *Job) *Job {
+	next := *jb
+	next.LostOn = append(slices.Clone(jb.LostOn), jb.Instance)
+	next.State, next.Instance = JobQueued, ""
+	if len(next.LostOn) >= lostMost {
+		next.State, next.Why = JobFailed, "its workers were lost under it, one after the other"
+	}
+	return &next
+}
+
 // ended returns the job after its task's end; nil while it runs.
 func (pl *Placer) ended(jb *Job, rp Report) *Job {
 	next := *jb
@@ -98,6 +114,9 @@
 				continue
 			}
 			next.State, next.Instance = JobQueued, ""
+		case pl.told[jb.ID] != jb.Attempt:
+			// Nobody answered for it. Renewed leases kept the jobs of a lost worker on it for ever.
+			continue
 		case jb.LeaseUntil.Sub(pl.opts.Now()) < pl.opts.TaskLease/2:
 			next.LeaseUntil = pl.opts.Now().Add(pl.opts.TaskLease)
 		default:
@@ -110,7 +129,7 @@
 	}
 	for _, jb := range pl.jobs {
 		// A placer before this one may have ended between the table and the worker.
-		if jb.State == JobRunning && pl.told[jb.ID] != jb.Attempt && !slices.Contains(changed, jb) {
+		if jb.State == JobRunning && pl.told[jb.ID] != jb.Attempt && pl.vain[jb.ID] < vainMost && !slices.Contains(changed, jb) {
 			changed = append(changed, jb)
 		}
 	}
@@ -125,6 +144,7 @@
 		next := *pm.Job
 		next.State, next.Instance, next.Granted = JobRunning, pm.Instance, pm.Granted
 		next.Attempt++
+		delete(pl.vain, next.ID)
 		next.LeaseUntil = pl.opts.Now().Add(pl.opts.TaskLease)
 		changed = append(changed, &next)
 	}
@@ -156,7 +176,7 @@
 		case JobRunning:
 			pc.Used[jb.Team]++
 			if wk := views[jb.Instance]; wk != nil {
-				wk.Taken, wk.Busy = wk.Taken.plus(jb.Granted), wk.Busy+1
+				wk.take(jb, jb.Granted)
 			}
 		}
 	}
@@ -213,9 +233,12 @@
 		err := pl.workers.Start(ctx, Task{Job: jb.ID, Attempt: jb.Attempt, Instance: jb.Instance, Granted: jb.Granted, LeaseUntil: jb.LeaseUntil})
 		if err != nil {
 			pl.opts.Log.Emit(event.PlacementFailed, zap.String("job", string(jb.ID)), zap.Error(err))
+			delete(pl.told, jb.ID)
+			pl.vain[jb.ID]++
 			continue
 		}
 		pl.told[jb.ID] = jb.Attempt
+		delete(pl.vain, jb.ID)
 	}
 	return nil
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -82,6 +82,8 @@
 	LeaseUntil time.Time `json:"leaseUntil"`
 	// FailedOn lists the workers on which it failed.
 	FailedOn []table.InstanceID `json:"failedOn,omitempty"`
+	// LostOn lists those that were not heard of until its lease was over.
+	LostOn []table.InstanceID `json:"lostOn,omitempty"`
 	// Why explains an end other than done.
 	Why string `json:"why,omitempty"`
 	// version is that of the row which the job was decoded from.
