A withheld worker keeps what runs; the core's files by matter

Cause: by reading: a worker whose registration cannot be read counted as draining, and tasks that last are moved off workers that drain without regard to their budgets. Change: Worker.Withheld.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -33,86 +33,9 @@
 	Room    job.Size
 	// Draining means that it takes no new tasks and will leave.
 	Draining bool
-}
-
-// Options are the times and limits of a cell; each comes from the settings or has the default named here.
-type Options struct {
-	// Lease is how long what runs goes on without being heard of. It trades a lost worker's tasks (short) against a takeover's time (long).
-	Lease time.Duration
-	// RenewFor is how long leases are renewed after the ownership was last confirmed. With a lease added it must outlast an
-	// outage of the store; a new owner waits for both before it starts again what may run on a worker that it cannot reach.
-	RenewFor time.Duration
-	// LookWait is the longest time that a worker holds a look's answer back for an end.
-	LookWait time.Duration
-	// LookGap is the least time between two looks at a worker, so that one answer carries several ends.
-	LookGap time.Duration
-	// SaveGap is the least time between two saves, but for those that end a job.
-	SaveGap time.Duration
-	// ClockSlow is how much slower than the owner's a worker's clock may run.
-	ClockSlow float64
-	// Early is how long before its due time a run may start.
-	Early time.Duration
-	// StopTime is the longest that a stop takes at a worker.
-	StopTime time.Duration
-	// Retention is how long the state of an ended job is kept.
-	Retention time.Duration
-	// RemoteFactor is how much longer tasks take away from their data's rack.
-	RemoteFactor float64
-	// Log is told of each decision; nil drops them.
-	Log func(Decision)
-}
-
-// Decision is one line of the log: what was decided of a task or worker, and why.
-type Decision struct {
-	What    string
-	Task    job.Task
-	Attempt job.Attempt
-	Worker  WorkerID
-	Token   Token
-	Why     string
-	// Age is how old the newest look at the worker was.
-	Age time.Duration
-	// Loss is set where a worker ended with tasks on it, Lost where a job is given up since workers end under it.
-	Loss *Loss
-	Lost []WorkerID
-}
-
-// Defaults of the options.
-const (
-	DefaultLease     = 5 * time.Second
-	DefaultRenewFor  = 7 * time.Second
-	DefaultLookWait  = time.Second
-	DefaultLookGap   = 60 * time.Millisecond
-	DefaultSaveGap   = 200 * time.Millisecond
-	DefaultClockSlow = 0.02
-	DefaultRetention = 150 * time.Second
-	// horizonMargin covers the time that an order spends on its way and in a process that is slow.
-	horizonMargin = 500 * time.Millisecond
-)
-
-// WithDefaults fills what is not set.
-func (op Options) WithDefaults() Options {
-	set := func(at *time.Duration, to time.Duration) {
-		if *at == 0 {
-			*at = to
-		}
-	}
-	set(&op.Lease, DefaultLease)
-	set(&op.RenewFor, DefaultRenewFor)
-	set(&op.LookWait, DefaultLookWait)
-	set(&op.LookGap, DefaultLookGap)
-	set(&op.SaveGap, DefaultSaveGap)
-	set(&op.Retention, DefaultRetention)
-	if op.ClockSlow == 0 {
-		op.ClockSlow = DefaultClockSlow
-	}
-	if op.RemoteFactor == 0 {
-		op.RemoteFactor = 2
-	}
-	if op.Log == nil {
-		op.Log = func(Decision) {}
-	}
-	return op
+	// Withheld means that its registration names no worker to use any more, though nothing says that it leaves: it gets nothing new, and what
+	// runs there goes on.
+	Withheld bool
 }
 
 // Stored is a job as the store has it.
@@ -296,69 +219,6 @@
 // Pause tells of which queues nothing is to be started; what runs goes on. The map is not changed any more.
 func (cr *Core) Pause(queues map[job.QueueID]bool) { cr.paused = queues }
 
-// Register tells of a worker as it is registered now.
-func (cr *Core) Register(now time.Time, in Worker) {
-	wk := cr.worker(in.ID)
-	if in.Draining && !wk.info.Draining {
-		cr.opts.Log(Decision{What: "worker drains", Worker: in.ID})
-	}
-	wk.info, wk.listed, wk.known, wk.unlistedAt = in, true, true, time.Time{}
-}
-
-// Unregister tells that a worker's registration is gone, which alone does not prove that it is.
-func (cr *Core) Unregister(now time.Time, id WorkerID) {
-	if wk, ok := cr.workers[id]; ok && wk.listed {
-		wk.listed, wk.unlistedAt = false, now
-	}
-}
-
-// Gone tells that a life of a worker has ended for certain: its machine runs another or none.
-func (cr *Core) Gone(now time.Time, id WorkerID) {
-	if wk, ok := cr.workers[id]; ok {
-		cr.bury(now, wk, "its machine says so")
-	}
-}
-
-const (
-	// missingAfter is how long a worker must have been silent before it is asked for elsewhere.
-	missingAfter = 500 * time.Millisecond
-	// brokenAfter is how long one must be whose connections broke: its port is dead, so that most likely its life has ended. What ran there
-	// waits for that word.
-	brokenAfter = 50 * time.Millisecond
-	// brokenFor is for how long after that the question is pressing.
-	brokenFor = 2 * time.Second
-)
-
-// Missing lists the workers that do not answer while something runs, or may run, on them; pressing tells that the connections of one of them
-// broke just now.
-func (cr *Core) Missing(now time.Time) (ids []WorkerID, pressing bool) {
-	for _, wk := range cr.list {
-		_, open := cr.unresolved[wk.info.ID]
-		if wk.fails == 0 || !open && len(wk.places) == 0 && len(wk.lapsed) == 0 {
-			continue
-		}
-		broke := wk.abrupt && now.Sub(wk.silentAt) > brokenAfter
-		if !broke && now.Sub(wk.lookedAt) <= missingAfter {
-			continue
-		}
-		ids = append(ids, wk.info.ID)
-		pressing = pressing || broke && now.Sub(wk.silentAt) < brokenFor
-	}
-	return ids, pressing
-}
-
-// Cordon tells which workers get no new tasks since their machines are wanted.
-func (cr *Core) Cordon(ids map[WorkerID]bool) { cr.cordons = ids }
-
-// Clear reports whether nothing runs or may run on a worker, and all that has ended there is kept.
-func (cr *Core) Clear(id WorkerID) bool {
-	if _, open := cr.unresolved[id]; open {
-		return false
-	}
-	wk, ok := cr.workers[id]
-	return !ok || len(wk.places) == 0 && len(wk.foreign) == 0 && len(wk.held) == 0 && (wk.fenced || !wk.enlisted)
-}
-
 // Used lists the workers on which this owner, or an unresolved earlier one, may have started tasks.
 func (cr *Core) Used() []Ref {
 	var refs []Ref
--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -605,53 +605,6 @@
 	return Done
 }
 
-// checkStart checks the promises that a start can break.
-func (md *model) checkStart(wk *truthWorker, order Start) {
-	tk, st := order.Task, md.step(order.Task)
-	for _, other := range md.sorted() {
-		if !other.alive {
-			continue
-		}
-		md.settle(other)
-		if rn := other.runs[tk]; rn != nil {
-			md.breach("%v starts on %s while attempt %d runs on %s", tk, wk.info.ID, rn.attempt, other.info.ID)
-		}
-	}
-	md.checkCrashes(tk)
-	if md.noted[tk] {
-		md.breach("%v starts after its end was acknowledged", tk)
-	}
-	if !st.LongRunning && md.failed[tk] >= modelAttempts {
-		md.breach("%v starts after %d acknowledged failures", tk, md.failed[tk])
-	}
-	if at, completed := md.completed[tk.Job]; completed && !md.deaf && md.sent.Sub(at) > knownWithin {
-		md.breach("%v starts after its job was completed", tk)
-	}
-	room, same := st.Room(), 1
-	for other := range wk.runs {
-		room = room.Plus(md.step(other).Room())
-		if other.Job == tk.Job && other.Step == tk.Step {
-			same++
-		}
-	}
-	if !room.Fits(md.knownRoom(wk)) {
-		md.breach("%v takes %s over its room", tk, wk.info.ID)
-	}
-	if st.SpreadLimit > 0 && same > st.SpreadLimit {
-		md.breach("%v is one of %d of its step on %s", tk, same, wk.info.ID)
-	}
-	for _, on := range st.DependsOn {
-		for at := range md.jobs[tk.Job].spec.Steps[on].Count {
-			if before := (job.Task{Job: tk.Job, Step: on, Index: at}); !md.done[before] {
-				md.breach("%v starts before %v is done", tk, before)
-			}
-		}
-	}
-	if jb := md.jobs[tk.Job]; !jb.cancelled.IsZero() && md.now.Sub(jb.cancelled) > 20*time.Second {
-		md.breach("%v starts long after its job was cancelled", tk)
-	}
-}
-
 // save writes progress under the condition of the cell's row and the rows' versions.
 func (md *model) save(ow *modelOwner, sv Save) {
 	if md.now.Before(ow.cutStore) {
@@ -693,98 +646,6 @@
 	})
 }
 
-// trouble does one of the things that happen.
-func (md *model) trouble() {
-	if md.calm {
-		return
-	}
-	md.at(md.millis(200, 1800), md.trouble)
-	ow := md.owners[md.rnd.Intn(len(md.owners))]
-	list := md.sorted()
-	wk := list[md.rnd.Intn(len(list))]
-	switch md.rnd.Intn(10) {
-	case 0:
-		ow.frozen = md.now.Add(md.millis(100, 9000))
-		md.note("owner %d freezes until %v", ow.epoch, ow.frozen)
-		md.at(ow.frozen.Sub(md.now)+time.Millisecond, func() { md.plan(ow) })
-	case 1:
-		ow.cutStore = md.now.Add(md.millis(100, 12000))
-		md.note("owner %d is cut from the store", ow.epoch)
-	case 2, 3:
-		md.cut(ow)
-	case 4:
-		md.crash(wk)
-	case 5, 6:
-		if cur := md.current(); cur == nil || md.rnd.Intn(2) == 0 {
-			md.claim()
-		}
-	case 7:
-		if cur := md.current(); cur != nil && !md.now.Before(cur.frozen) && !md.now.Before(cur.cutStore) && !cur.core.Saving() {
-			md.handOver(cur)
-		}
-	case 9:
-		md.resize(wk)
-	case 8:
-		if len(md.order2) > 0 {
-			md.cancel(md.order2[md.rnd.Intn(len(md.order2))])
-		}
-	}
-}
-
-// cut parts an owner from some workers.
-func (md *model) cut(ow *modelOwner) {
-	for _, wk := range md.sorted() {
-		if md.rnd.Intn(2) == 0 {
-			ow.cutWorkers[wk.info.ID] = md.now.Add(md.millis(100, 15000))
-		}
-	}
-	md.note("owner %d is cut from some workers", ow.epoch)
-}
-
-// crash ends a life; a new one comes at the same address. The membership tells late.
-func (md *model) crash(wk *truthWorker) {
-	if !wk.alive {
-		return
-	}
-	wk.alive = false
-	md.bury(wk)
-	wk.runs, wk.ended = map[job.Task]*truthRun{}, nil
-	md.note("%s crashes", wk.info.ID)
-	md.at(md.millis(500, 5000), func() { md.addWorker(wk.info.Address) })
-	md.at(md.millis(3000, 6000), func() {
-		for _, ow := range md.owners {
-			ow.core.Unregister(md.now, wk.info.ID)
-			if md.rnd.Intn(2) == 0 {
-				ow.core.Gone(md.now, wk.info.ID)
-			}
-		}
-	})
-}
-
-// handOver is a planned stop of an owner.
-func (md *model) handOver(ow *modelOwner) {
-	md.version++
-	md.rowVersion, md.used, md.released = md.version, ow.core.Release(md.now), true
-	ow.dead = true
-	md.note("owner %d hands over, clean %t", ow.epoch, md.released)
-	md.at(md.millis(10, 800), func() {
-		if md.current() == nil {
-			md.claim()
-		}
-	})
-}
-
-func (md *model) cancel(id job.ID) {
-	jb := md.jobs[id]
-	if !jb.cancelled.IsZero() {
-		return
-	}
-	jb.cancelled = md.now
-	for _, ow := range md.owners {
-		md.at(md.millis(1, 700), func() { md.deliver(ow, func() { ow.core.Cancel(md.now, id) }) })
-	}
-}
-
 // next plays one event.
 func (md *model) next() bool {
 	if md.agenda.Len() == 0 || md.broken != "" {
@@ -814,51 +675,6 @@
 	}
 }
 
-// checkFinished checks that no accepted job is forgotten.
-func (md *model) checkFinished(id job.ID) {
-	jb := md.jobs[id]
-	state, known := md.current().core.State(id)
-	switch {
-	case !known:
-		md.breach("job %s is not known", id)
-	case jb.spec.Steps[0].LongRunning && jb.cancelled.IsZero() && state != job.Failed:
-		for at := range jb.spec.Steps[0].Count {
-			md.checkLasts(job.Task{Job: id, Index: at})
-		}
-	case !state.Ended():
-		md.breach("job %s is %s in the end", id, state)
-		md.describe(id)
-	}
-}
-
-// describe notes what the last owner believes of a job and of the workers.
-func (md *model) describe(id job.ID) {
-	cr := md.current().core
-	for _, rn := range cr.jobs[id].runs {
-		for _, st := range rn.steps {
-			for at := range st.tasks {
-				ts := &st.tasks[at]
-				md.note("step %d %+v task %d done %t attempt %d placed %+v", st.at, *st.spec, at, ts.done, ts.attempt, ts.place)
-			}
-		}
-	}
-	for id, wk := range cr.workers {
-		md.note("%s listed %t fenced %t enlisted %t fails %d taken %+v unwell %t bad %t", id, wk.listed, wk.fenced, wk.enlisted, wk.fails, wk.used, md.now.Before(wk.unwellUntil), wk.judge.bad(md.now))
-	}
-}
-
-func (md *model) checkLasts(tk job.Task) {
-	for _, wk := range md.workers {
-		if wk.alive && wk.runs[tk] != nil {
-			return
-		}
-	}
-	// A spread limit may leave no worker for it.
-	if md.step(tk).SpreadLimit == 0 {
-		md.breach("%v is to last and does not run", tk)
-	}
-}
-
 // TestModel plays random worlds and checks after each event that nothing promised is broken.
 func TestModel(t *testing.T) {
 	played := 0
--- /dev/null
+++ b/cell/registry.go
@@ -0,0 +1,66 @@
+package cell
+
+import "time"
+
+// Register tells of a worker as it is registered now.
+func (cr *Core) Register(now time.Time, in Worker) {
+	wk := cr.worker(in.ID)
+	if in.Draining && !wk.info.Draining {
+		cr.opts.Log(Decision{What: "worker drains", Worker: in.ID})
+	}
+	wk.info, wk.listed, wk.known, wk.unlistedAt = in, true, true, time.Time{}
+}
+
+// Unregister tells that a worker's registration is gone, which alone does not prove that it is.
+func (cr *Core) Unregister(now time.Time, id WorkerID) {
+	if wk, ok := cr.workers[id]; ok && wk.listed {
+		wk.listed, wk.unlistedAt = false, now
+	}
+}
+
+// Gone tells that a life of a worker has ended for certain: its machine runs another or none.
+func (cr *Core) Gone(now time.Time, id WorkerID) {
+	if wk, ok := cr.workers[id]; ok {
+		cr.bury(now, wk, "its machine says so")
+	}
+}
+
+const (
+	// missingAfter is how long a worker must have been silent before it is asked for elsewhere.
+	missingAfter = 500 * time.Millisecond
+	// brokenAfter is how long one must be whose connections broke: its port is dead, so that most likely its life has ended. What ran there
+	// waits for that word.
+	brokenAfter = 50 * time.Millisecond
+	// brokenFor is for how long after that the question is pressing.
+	brokenFor = 2 * time.Second
+)
+
+// Missing lists the workers that do not answer while something runs, or may run, on them; pressing tells that the connections of one of them
+// broke just now.
+func (cr *Core) Missing(now time.Time) (ids []WorkerID, pressing bool) {
+	for _, wk := range cr.list {
+		_, open := cr.unresolved[wk.info.ID]
+		if wk.fails == 0 || !open && len(wk.places) == 0 && len(wk.lapsed) == 0 {
+			continue
+		}
+		broke := wk.abrupt && now.Sub(wk.silentAt) > brokenAfter
+		if !broke && now.Sub(wk.lookedAt) <= missingAfter {
+			continue
+		}
+		ids = append(ids, wk.info.ID)
+		pressing = pressing || broke && now.Sub(wk.silentAt) < brokenFor
+	}
+	return ids, pressing
+}
+
+// Cordon tells which workers get no new tasks since their machines are wanted.
+func (cr *Core) Cordon(ids map[WorkerID]bool) { cr.cordons = ids }
+
+// Clear reports whether nothing runs or may run on a worker, and all that has ended there is kept.
+func (cr *Core) Clear(id WorkerID) bool {
+	if _, open := cr.unresolved[id]; open {
+		return false
+	}
+	wk, ok := cr.workers[id]
+	return !ok || len(wk.places) == 0 && len(wk.foreign) == 0 && len(wk.held) == 0 && (wk.fenced || !wk.enlisted)
+}
--- a/cell/stall_test.go
+++ b/cell/stall_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/aspenseam/aspenseam/job"
 )
 
 // An owner that stood still for three seconds decides by rooms and an ownership of before. It starts nothing until it has heard of both anew.
@@ -44,3 +46,35 @@
 	}
 	t.Fatal("the waiting task was not started though the other worker has room")
 }
+
+// A worker whose entry cannot be read any more gets nothing new, and keeps the tasks that last: nothing says that it leaves, and moving them away
+// would take several at once from a step that allows one.
+func TestWithheldWorkerKeepsWhatRuns(t *testing.T) {
+	bd := newBed(t, 2)
+	bd.add("lasting", bedEpoch, job.Step{Count: 2, Size: job.Size{CPUMillis: 1000, MemoryMB: 100}, LongRunning: true, Budgeted: true, DisruptionBudget: 1})
+	for _, st := range bd.wantStarts(bd.plan(), 2) {
+		bd.ordered(st, Done)
+	}
+	for _, id := range []WorkerID{"w0", "w1"} {
+		info := bd.core.workers[id].info
+		info.Withheld = true
+		bd.core.Register(bd.now, info)
+	}
+	bd.add("a", bedEpoch, tasks(1))
+	for range 20 {
+		for _, od := range bd.plan() {
+			switch od.(type) {
+			case Start, Stop:
+				t.Fatalf("%+v for a worker that is withheld", od)
+			}
+		}
+		for id, lk := range bd.open {
+			var running []Running
+			for _, pl := range bd.core.workers[id].placed {
+				running = append(running, Running{Task: pl.task, Attempt: pl.attempt, Progress: 100})
+			}
+			bd.looked(lk, running, nil)
+		}
+		bd.pass(100 * time.Millisecond)
+	}
+}
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -84,7 +84,7 @@
 // withdraw keeps new tasks from a worker whose registration cannot be read any more: whoever wrote it, it names no worker to use.
 func (fl *Fleet) withdraw(id cell.WorkerID) {
 	if wk, known := fl.roster.get(id); known {
-		wk.Draining = true
+		wk.Withheld = true
 		fl.register(wk)
 	}
 }
@@ -94,7 +94,7 @@
 	before, known := fl.roster.get(wk.ID)
 	fl.roster.put(wk)
 	if known && before.Pool != wk.Pool {
-		before.Draining = true
+		before.Withheld = true
 		if ow := fl.ownerOf(cellName(before.Pool)); ow != nil {
 			ow.post(func(cr *cell.Core, now time.Time) { cr.Register(now, before) })
 		}
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -16,8 +16,8 @@
 	return fl, ow
 }
 
-// draining says of which workers the owner believes that they leave.
-func draining(ow *owner) map[cell.WorkerID]bool {
+// unused says of which workers the owner gives nothing to.
+func unused(ow *owner) map[cell.WorkerID]bool {
 	ow.step()
 	leaving := map[cell.WorkerID]bool{}
 	for _, ld := range ow.core.Load(time.Now()).Workers {
@@ -32,18 +32,18 @@
 	fl, ow := newRegistry(t)
 	row := func(id, value string) Row { return Row{Table: "registry", Key: id, Value: []byte(value)} }
 	fl.registryChanged([]Row{row("w0", "{}"), row("w1", foreignEntry), row("w2", "{}")}, time.Time{})
-	if got := draining(ow); len(got) != 2 || got["w0"] || got["w2"] {
+	if got := unused(ow); len(got) != 2 || got["w0"] || got["w2"] {
 		t.Errorf("workers %v, want w0 and w2 in use", got)
 	}
 	fl.registryChanged([]Row{row("w0", foreignEntry)}, time.Time{})
-	if got := draining(ow); !got["w0"] || got["w2"] {
-		t.Errorf("workers that leave %v, want w0 alone", got)
+	if got := unused(ow); !got["w0"] || got["w2"] {
+		t.Errorf("workers without new tasks %v, want w0 alone", got)
 	}
 	if got := fl.fig.registrationsRejected.Count(); got < 2 {
 		t.Errorf("%d rejected registrations counted", got)
 	}
 	fl.registryChanged([]Row{row("w0", "{}")}, time.Time{})
-	if got := draining(ow); got["w0"] {
+	if got := unused(ow); got["w0"] {
 		t.Error("w0 is not used again")
 	}
 }
@@ -53,7 +53,7 @@
 	fl, ow := newRegistry(t)
 	fl.register(cell.Worker{ID: "w0", Pool: "pool", Address: "a"})
 	fl.register(cell.Worker{ID: "w0", Pool: "nowhere", Address: "a"})
-	if got := draining(ow); !got["w0"] {
-		t.Errorf("workers that leave %v, want w0", got)
+	if got := unused(ow); !got["w0"] {
+		t.Errorf("workers without new tasks %v, want w0", got)
 	}
 }
