--- a/clock/clock.go
+++ b/clock/clock.go
@@ -73,11 +73,12 @@
 
 // measure asks for how long the machine was suspended. The time never goes back.
 func (ck *Clock) measure(ran, skew time.Duration) {
+	// Stored in any case, so that a system without the clock is asked once for each move.
+	ck.skew.Store(int64(skew))
 	since, err := ck.boot()
 	if err != nil {
 		return
 	}
-	ck.skew.Store(int64(skew))
 	slept := int64(since - ck.booted - ran)
 	for {
 		known := ck.slept.Load()
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -83,6 +83,10 @@
 	if got := ck.Now().Sub(first); got != time.Second {
 		t.Errorf("%v passed, want 1s", got)
 	}
+	ck.Now()
+	if ho.asked != 2 {
+		t.Errorf("the kernel was asked %d times, want at the start and once for the move", ho.asked)
+	}
 }
 
 func TestBootTimeIsRead(t *testing.T) {
