--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -166,6 +166,7 @@
 func (cs *crashes) crash(fr *fragile) {
 	delete(cs.workers, fr.id)
 	fr.dead = true
+	cs.breakGangs(fr)
 	cs.lost++
 	if fr.look != nil {
 		cs.unanswered(*fr.look)
@@ -173,6 +174,22 @@
 	cs.after(crashBack, cs.born)
 }
 
+// breakGangs ends the members that others of a gang had on a worker that ended.
+func (cs *crashes) breakGangs(fr *fragile) {
+	for tk := range fr.runs {
+		if st := cs.core.find(tk); st == nil || !st.spec.Gang {
+			continue
+		}
+		for _, other := range cs.workers {
+			for member, rn := range other.runs {
+				if member.Job == tk.Job && member.Step == tk.Step {
+					rn.how, rn.crashes, rn.ends = EndBroken, false, cs.now
+				}
+			}
+		}
+	}
+}
+
 // unanswered ends a look at a worker that has ended.
 func (cs *crashes) unanswered(lk Look) {
 	sent := cs.now
@@ -442,3 +459,24 @@
 		}
 	}
 }
+
+// A gang one of whose members crashes its worker is given up as soon as a single task is; a gang that lost a worker with others goes on.
+func TestGangThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for _, after := range []time.Duration{10 * time.Millisecond, 300 * time.Millisecond} {
+		cs := newCrashes(t, 8, guiltyJobs(after, "bad"))
+		gang := tasks(4)
+		gang.Gang = true
+		cs.add("good", bedEpoch, gang)
+		cs.add("bad", bedEpoch, gang)
+		for at := range 6 {
+			cs.add(job.ID(fmt.Sprintf("other%d", at)), bedEpoch, tasks(6))
+		}
+		cs.run(20 * time.Second)
+		if got := cs.state("bad"); got != job.Failed || cs.lost > 4 {
+			t.Errorf("crash after %v: the gang is %s after %d losses", after, got, cs.lost)
+		}
+		if got := cs.state("good"); got != job.Completed {
+			t.Errorf("crash after %v: the gang beside it is %s", after, got)
+		}
+	}
+}
