--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -322,6 +322,9 @@
 		pg.count()
 	}
 	for range 300 {
+		if len(pg.seen) == pg.jobs {
+			break
+		}
 		pg.run(100 * time.Millisecond)
 		pg.count()
 	}
