An entry without a machine is foreign where others name theirs, and only there

Cause: by reading: the strict reader asked for a machine wherever the settings name the service that lists them; a deployment whose workers name none would have had no worker at all. Change: the roster decides by what the other registrations say. Shown by TestEntryWithoutAMachineAmongOthersIsForeign.

--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -10,12 +11,27 @@
 	"go.uber.org/zap"
 )
 
+// errNoMachine says that a registration names no machine though those of others do, so that no worker wrote it.
+var errNoMachine = errors.New("registration without a machine")
+
 // roster holds the registered workers.
 type roster struct {
 	mu      sync.Mutex // guards what follows
 	workers map[cell.WorkerID]cell.Worker
 }
 
+// namesMachines reports whether registered workers name their machines; where machines are not listed none does.
+func (ro *roster) namesMachines() bool {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	for _, wk := range ro.workers {
+		if wk.Machine != "" {
+			return true
+		}
+	}
+	return false
+}
+
 func newRoster() *roster { return &roster{workers: map[cell.WorkerID]cell.Worker{}} }
 
 // clear forgets all workers.
@@ -62,22 +78,45 @@
 	return list
 }
 
+// registrationRow is a registration as it was read, or why it could not be.
+type registrationRow struct {
+	row    Row
+	worker cell.Worker
+	err    error
+}
+
 // registryChanged takes changes of the workers' registrations.
 func (fl *Fleet) registryChanged(rows []Row, _ time.Time) {
+	named := fl.roster.namesMachines()
+	list := make([]registrationRow, 0, len(rows))
 	for _, rw := range rows {
-		id := cell.WorkerID(rw.Key)
-		if rw.Deleted {
-			fl.unregister(id)
-			continue
+		rd := registrationRow{row: rw}
+		if !rw.Deleted {
+			rd.worker, rd.err = fl.opts.Format.Worker(rw)
+			named = named || rd.err == nil && rd.worker.Machine != ""
 		}
-		wk, err := fl.opts.Format.Worker(rw)
-		if err != nil {
-			fl.opts.Log.Emit(event.RegistrationRejected, zap.String("worker", rw.Key), zap.Error(err))
-			fl.fig.registrationsRejected.Inc(1)
-			fl.withdraw(id)
-			continue
+		list = append(list, rd)
+	}
+	for _, rd := range list {
+		if rd.err == nil && !rd.row.Deleted && named && rd.worker.Machine == "" {
+			rd.err = errNoMachine
 		}
-		fl.register(wk)
+		fl.takeRegistration(rd)
+	}
+}
+
+// takeRegistration takes one.
+func (fl *Fleet) takeRegistration(rd registrationRow) {
+	id := cell.WorkerID(rd.row.Key)
+	switch {
+	case rd.row.Deleted:
+		fl.unregister(id)
+	case rd.err != nil:
+		fl.opts.Log.Emit(event.RegistrationRejected, zap.String("worker", rd.row.Key), zap.Error(rd.err))
+		fl.fig.registrationsRejected.Inc(1)
+		fl.withdraw(id)
+	default:
+		fl.register(rd.worker)
 	}
 }
 
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -57,3 +57,15 @@
 		t.Errorf("workers without new tasks %v, want w0", got)
 	}
 }
+
+// Where workers name their machines one that names none wrote no entry of its own; where none does all are used.
+func TestEntryWithoutAMachineAmongOthersIsForeign(t *testing.T) {
+	for machine, want := range map[cell.MachineID]int{"m0": 1, "": 2} {
+		fl, ow := newRegistry(t)
+		fl.register(cell.Worker{ID: "w0", Pool: "pool", Address: "a", Machine: machine})
+		fl.registryChanged([]Row{{Table: "registry", Key: "w1", Value: []byte("{}")}}, time.Time{})
+		if got := unused(ow); len(got) != want {
+			t.Errorf("beside a worker on machine %q: %d workers are known, want %d", machine, len(got), want)
+		}
+	}
+}
