--- a/entry.go
+++ b/entry.go
@@ -267,7 +267,7 @@
 // seed asks all running peers for their snapshots, and returns when the platform or one of them has given one.
 // The peers are asked even if the platform was faster, so that a stale read of it cannot bring an old configuration back.
 func (en *entry) seed(ctx context.Context) {
-	if en.peers.Start(ctx) && !en.watcher.Reached() {
+	if en.peers.Start(ctx) && !en.watcher.Heard() {
 		en.log.Emit(event.SnapshotFromPeer)
 	}
 	ticker := time.NewTicker(en.st.Peer.SyncInterval)
--- a/table/watcher.go
+++ b/table/watcher.go
@@ -98,6 +98,9 @@
 	return wt.reached.Load()
 }
 
+// Heard reports whether the platform has answered the newest read; false before the first one has ended.
+func (wt *Watcher) Heard() bool { return wt.reached.Load() }
+
 // Loaded is closed when the first rows have come in, from wherever.
 func (wt *Watcher) Loaded() <-chan struct{} {
 	return wt.loaded
