--- a/table/watcher.go
+++ b/table/watcher.go
@@ -28,9 +28,10 @@
 	current atomic.Pointer[Snapshot]
 	mu      sync.Mutex // held by writers of current, until the change has been told
 	wake    chan struct{}
-	reached atomic.Bool
-	loaded  chan struct{}
-	once    sync.Once
+	// reached is set while the newest read was answered, failed while it was not; before the first has ended neither is.
+	reached, failed atomic.Bool
+	loaded          chan struct{}
+	once            sync.Once
 }
 
 // WatchOptions holds what a watcher can be built with.
@@ -93,9 +94,10 @@
 	return wt.current.Load()
 }
 
-// Reached reports whether the platform answered the last read.
+// Reached reports whether nothing speaks against the platform: its newest read was answered, or none has ended yet. An instance serves from a
+// peer's snapshot before that.
 func (wt *Watcher) Reached() bool {
-	return wt.reached.Load()
+	return !wt.failed.Load()
 }
 
 // Heard reports whether the platform has answered the newest read; false before the first one has ended.
@@ -166,6 +168,7 @@
 // note logs when the platform is lost or reached again.
 func (wt *Watcher) note(err error) {
 	was := wt.reached.Swap(err == nil)
+	wt.failed.Store(err != nil)
 	switch {
 	case err == nil && !was:
 		wt.opts.Log.Emit(event.PlatformReached)
