--- a/cell/crash.go
+++ b/cell/crash.go
@@ -21,8 +21,8 @@
 	// how many others it takes: where tasks crash ten workers a second, 6 of 100 fall so by chance.
 	sameInstant = 20 * time.Millisecond
 	manyOthers  = 2
-	// fellAfter is how many calls in a row must break.
-	fellAfter = 2
+	// leftAfter is how many calls in a row must break.
+	leftAfter = 2
 	// brokenKept is how many broken connections are remembered for that.
 	brokenKept = 256
 	// weakProof is how many losses it takes where none tells of a cause.
@@ -72,8 +72,8 @@
 	Charged bool
 }
 
-// mourn charges the tasks on a worker whose life has ended with its loss, unless it was about to leave.
-func (cr *Core) mourn(now time.Time, wk *worker, why string) {
+// chargeLoss charges the tasks on a worker whose life has ended with its loss, unless it was about to leave.
+func (cr *Core) chargeLoss(now time.Time, wk *worker, why string) {
 	silent := now
 	if wk.fails > 0 {
 		silent = wk.silentAt
@@ -226,10 +226,10 @@
 	}
 }
 
-// fell has a next owner know what was on a worker whose connections broke twice: it may have ended, and nobody else can tell what it ran.
+// noteLeft has a next owner know what was on a worker whose connections broke twice: it may have ended, and nobody else can tell what it ran.
 // After a mere reset the second call is answered.
-func (cr *Core) fell(wk *worker) {
-	if !wk.abrupt || wk.fails != fellAfter {
+func (cr *Core) noteLeft(wk *worker) {
+	if !wk.abrupt || wk.fails != leftAfter {
 		return
 	}
 	for _, pl := range wk.placed {
@@ -241,7 +241,7 @@
 // leftOn is the worker on which a next owner may find a task gone; empty if it is safe there.
 func (ts *taskState) leftOn() WorkerID {
 	if pl := ts.place; pl != nil {
-		if pl.trial || pl.worker.fails >= fellAfter && pl.worker.abrupt {
+		if pl.trial || pl.worker.fails >= leftAfter && pl.worker.abrupt {
 			return pl.worker.info.ID
 		}
 		return ""
--- a/cell/look.go
+++ b/cell/look.go
@@ -43,7 +43,7 @@
 		}
 		cr.opts.Log(Decision{What: "worker silent", Worker: wk.info.ID, Token: lk.Token, Why: lk.Outcome.String(), Age: now.Sub(wk.lookedAt)})
 	}
-	cr.fell(wk)
+	cr.noteLeft(wk)
 }
 
 // sawWorker takes what a worker says of itself.
--- a/cell/trial.go
+++ b/cell/trial.go
@@ -23,8 +23,8 @@
 	trialsStep = 2
 	// weightCompany keeps suspects from workers with other tasks; it only ranks.
 	weightCompany = 5.0
-	// accuseFor is for how long after its lease's end it is asked whether a silent worker lives, since its end would be a loss of its tasks.
-	accuseFor = 30 * time.Second
+	// lossOpenFor is for how long after its lease's end it is asked whether a silent worker lives, since its end would be a loss of its tasks.
+	lossOpenFor = 30 * time.Second
 	// holdFor is how long a suspect waits at most for word of the worker on which it was tried and that fell silent: it may be one more.
 	holdFor = 10 * time.Second
 )
@@ -176,7 +176,7 @@
 	wk.lapsed = nil
 }
 
-// accused reports whether the end of a silent worker would still be a loss of tasks.
-func (wk *worker) accused(now time.Time) bool {
-	return len(wk.lapsed) > 0 && now.Sub(wk.leaseEnd) < accuseFor
+// lossOpen reports whether the end of a silent worker would still be a loss of tasks.
+func (wk *worker) lossOpen(now time.Time) bool {
+	return len(wk.lapsed) > 0 && now.Sub(wk.leaseEnd) < lossOpenFor
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -255,7 +255,7 @@
 // bury forgets a worker whose life has ended: nothing runs there any more.
 func (cr *Core) bury(now time.Time, wk *worker, why string) {
 	cr.opts.Log(Decision{What: "worker gone", Worker: wk.info.ID, Why: why, Age: now.Sub(wk.lookedAt)})
-	cr.mourn(now, wk, why)
+	cr.chargeLoss(now, wk, why)
 	for _, pl := range wk.placed {
 		// Another owner may have taken note of its end before the worker went.
 		pl.step.tasks[pl.task.Index].lostAt = now
@@ -290,7 +290,7 @@
 			cr.lapse(now, wk)
 		}
 		_, open := cr.unresolved[wk.info.ID]
-		if !wk.listed && !open && len(wk.places) == 0 && !wk.accused(now) && !wk.unlistedAt.IsZero() && now.Sub(wk.unlistedAt) > unlistedFor && (wk.fails > 0 || now.Sub(wk.unlistedAt) > 3*unlistedFor) {
+		if !wk.listed && !open && len(wk.places) == 0 && !wk.lossOpen(now) && !wk.unlistedAt.IsZero() && now.Sub(wk.unlistedAt) > unlistedFor && (wk.fails > 0 || now.Sub(wk.unlistedAt) > 3*unlistedFor) {
 			cr.remove(wk)
 		}
 	}
