--- a/event/loss.go
+++ b/event/loss.go
@@ -113,19 +113,30 @@
 
 // Read takes the lines of one log, which may have a time and a process in front. Logs may be read in any order.
 func (ls *Loss) Read(rd io.Reader) error {
+	unread, err := eachEvent(rd, func(raw []byte) bool {
+		var ln lossLine
+		if json.Unmarshal(raw, &ln) != nil || ln.Event == 0 {
+			return false
+		}
+		ls.take(ln)
+		return true
+	})
+	ls.unread += unread
+	return err
+}
+
+// eachEvent hands over the JSON of each line of a log, which may have a time and a process in front, and counts the lines that are no events by
+// the taker's word.
+func eachEvent(rd io.Reader, take func(raw []byte) bool) (unread int, err error) {
 	sc := bufio.NewScanner(rd)
 	sc.Buffer(nil, maxLogLine)
 	for sc.Scan() {
 		raw := sc.Bytes()
-		at := bytes.IndexByte(raw, '{')
-		var ln lossLine
-		if at < 0 || json.Unmarshal(raw[at:], &ln) != nil || ln.Event == 0 {
-			ls.unread++
-			continue
+		if at := bytes.IndexByte(raw, '{'); at < 0 || !take(raw[at:]) {
+			unread++
 		}
-		ls.take(ln)
 	}
-	return sc.Err()
+	return unread, sc.Err()
 }
 
 // take notes what a line tells.
--- a/event/story.go
+++ b/event/story.go
@@ -1,7 +1,6 @@
 package event
 
 import (
-	"bufio"
 	"bytes"
 	"cmp"
 	"encoding/json"
@@ -50,20 +49,16 @@
 
 // Read takes the lines of one log, which may have a time and a process in front. Logs may be read in any order.
 func (st *Story) Read(rd io.Reader) error {
-	sc := bufio.NewScanner(rd)
-	sc.Buffer(nil, maxLogLine)
-	for sc.Scan() {
-		raw := sc.Bytes()
-		at := bytes.IndexByte(raw, '{')
-		var ln storyLine
-		if at < 0 || json.Unmarshal(raw[at:], &ln) != nil || ln.Event == 0 {
-			st.unread++
-			continue
+	unread, err := eachEvent(rd, func(raw []byte) bool {
+		ln := storyLine{raw: bytes.Clone(raw)}
+		if json.Unmarshal(raw, &ln) != nil || ln.Event == 0 {
+			return false
 		}
-		ln.raw = bytes.Clone(raw[at:])
 		st.take(ln)
-	}
-	return sc.Err()
+		return true
+	})
+	st.unread += unread
+	return err
 }
 
 func (st *Story) take(ln storyLine) {
