Organisations and their keys: a call without a held key is refused before its body is read

Change: job.Directory finds an organisation by the digest of a key; texts of keys are not kept. Jobs and home rows name their organisation; state, second tries and cancels by another are answered 403, since 410 would deny a job that is there. Unknown keys are refused at public queues, too; a key held twice counts as the first organisation's by name (event 843); event 842 names fingerprints only.

Tests: TestKeysOfCalls, TestCallWithoutKeyIsRefusedBeforeItsBody, FuzzKey, FuzzConfiguration, TestJobsAreTheirOrganisations, TestOrganisationThatGoesLosesNoJob, TestMovedKeyAndGoneOrganisation.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -260,6 +260,15 @@
 	return js.shown(), true
 }
 
+// Organisation returns whose job it is; empty if it is not known, or nobody's.
+func (cr *Core) Organisation(id job.ID) job.OrganisationID {
+	js, ok := cr.jobs[id]
+	if !ok {
+		return ""
+	}
+	return js.spec.Organisation
+}
+
 // Pending counts the jobs of a queue none of whose tasks has begun.
 func (cr *Core) Pending(queue job.QueueID) int {
 	count := 0
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -84,6 +84,8 @@
 	JobGivenUp           = Kind{839, "job given up: workers end under its task", zapcore.ErrorLevel, "Tell the owner of the queue: the task named crashed the workers in the field lost."}
 	QueuePaused          = Kind{840, "queue paused by an operator", zapcore.WarnLevel, "Nothing of it is started and none of its jobs accepted until it is resumed; why says the reason."}
 	QueueResumed         = Kind{841, "queue goes on", zapcore.InfoLevel, "Nothing."}
+	KeyRejected          = Kind{842, "call without a key that the configuration holds refused", zapcore.WarnLevel, "Compare the fingerprint with `aspenseam organisations list --keys`; none means that the call had no key."}
+	KeyShared            = Kind{843, "key held by several organisations; it counts as the first one's, by name", zapcore.ErrorLevel, "Give one of them another key; the fingerprint is in the field key."}
 	JobKnown             = Kind{829, "job was accepted before", zapcore.InfoLevel, "Nothing; the caller's second try is the same job."}
 )
 
@@ -100,5 +102,5 @@
 	CellClaimed, CellLoaded, CellLost, CellReleased, ClaimFailed, ReleaseFailed, SaveFailed, CellDecided,
 	JobAccepted, JobRefused, JobCancelled, AdviceFailed, PeerSilent, CarryRejected,
 	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown, RelayLost, HallCutOff, HallReached,
-	StoreSlow, JobUnsure, WriteWaited, BytesMoved, PayloadMissing, WorkerLost, JobGivenUp, QueuePaused, QueueResumed,
+	StoreSlow, JobUnsure, WriteWaited, BytesMoved, PayloadMissing, WorkerLost, JobGivenUp, QueuePaused, QueueResumed, KeyRejected, KeyShared,
 }
--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -464,7 +464,7 @@
 func (st *site) completed(nd *testNode, id job.ID) {
 	st.t.Helper()
 	st.eventually("the end of "+string(id), func() bool {
-		state, err := nd.State(context.Background(), &testQueue, id)
+		state, err := nd.State(context.Background(), "", &testQueue, id)
 		return err == nil && state == job.Completed
 	})
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -221,7 +221,8 @@
 			break
 		}
 	}
-	fl.opts.Log.Emit(event.QueuesInForce, zap.Int64("version", cf.Version), zap.Int("queues", len(cf.Queues)), zap.Int("pools", len(cf.Pools)))
+	fl.opts.Log.Emit(event.QueuesInForce, zap.Int64("version", cf.Version), zap.Int("queues", len(cf.Queues)), zap.Int("pools", len(cf.Pools)), zap.Int("organisations", len(cf.Organisations.List())))
+	fl.tellShared(cf)
 	for _, ow := range fl.owned() {
 		ow.post(func(cr *cell.Core, _ time.Time) { cr.Configure(cf.Queues) })
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -27,7 +27,7 @@
 	st.completed(one, "a1")
 	st.completed(two, "a1")
 	st.once("a1")
-	if _, err := one.State(context.Background(), &testQueue, "none"); !errors.Is(err, ErrNoJob) {
+	if _, err := one.State(context.Background(), "", &testQueue, "none"); !errors.Is(err, ErrNoJob) {
 		t.Errorf("a job that nobody handed in: %v", err)
 	}
 }
@@ -176,7 +176,7 @@
 		t.Fatalf("verdict %d, come back after %v", vd, wait)
 	}
 	one.way.set(func(sw *storeWay) { sw.refuse = false })
-	if _, err := one.State(ctx, &testQueue, "h1"); err == nil {
+	if _, err := one.State(ctx, "", &testQueue, "h1"); err == nil {
 		t.Error("a refused job is known")
 	}
 }
@@ -190,12 +190,12 @@
 		t.Fatalf("verdict %d", vd)
 	}
 	st.eventually("a task runs", func() bool { return st.workers.count(job.Task{Job: "i1"}) == 1 })
-	if err := two.Cancel(context.Background(), "i1"); err != nil {
+	if err := two.Cancel(context.Background(), "", "i1"); err != nil {
 		t.Fatal(err)
 	}
 	st.eventually("both say so", func() bool {
 		for _, nd := range []*testNode{one, two} {
-			if state, err := nd.State(context.Background(), &testQueue, "i1"); err != nil || state != job.Cancelled {
+			if state, err := nd.State(context.Background(), "", &testQueue, "i1"); err != nil || state != job.Cancelled {
 				return false
 			}
 		}
@@ -211,7 +211,7 @@
 		}
 		return true
 	})
-	if err := one.Cancel(context.Background(), "none"); !errors.Is(err, ErrNoJob) {
+	if err := one.Cancel(context.Background(), "", "none"); !errors.Is(err, ErrNoJob) {
 		t.Errorf("cancelling what is not there: %v", err)
 	}
 }
@@ -244,7 +244,7 @@
 		}
 		return true
 	})
-	if _, err := one.State(context.Background(), &testQueue, "k1"); !errors.Is(err, ErrNoJob) {
+	if _, err := one.State(context.Background(), "", &testQueue, "k1"); !errors.Is(err, ErrNoJob) {
 		t.Errorf("after its retention: %v", err)
 	}
 	st.once("k1")
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -44,6 +44,8 @@
 	Accepted
 	// Refused means that the job was not taken by this try and will not run because of it.
 	Refused
+	// Foreign means that the id is that of another organisation's job.
+	Foreign
 )
 
 // Errors of job calls.
@@ -54,10 +56,11 @@
 	ErrNotNow = errors.New("the answer is not to be had now")
 )
 
-// home is the row that says which cell a job belongs to.
+// home is the row that says which cell a job belongs to, and which organisation.
 type home struct {
-	Cell  string      `json:"cell"`
-	Queue job.QueueID `json:"queue"`
+	Cell         string             `json:"cell"`
+	Queue        job.QueueID        `json:"queue"`
+	Organisation job.OrganisationID `json:"organisation,omitempty"`
 }
 
 // handed is a job that waits to be accepted.
@@ -85,6 +88,19 @@
 	holdWithdrawn
 )
 
+// home is the row that says where the job belongs.
+func (hd *handed) home() home {
+	return home{Cell: cellName(hd.spec.Pool), Queue: hd.spec.Queue, Organisation: hd.spec.Organisation}
+}
+
+// verdict is what a caller is told who hands the job in once more.
+func (hm home) verdict(by job.OrganisationID) Verdict {
+	if !job.MayUse(by, hm.Organisation) {
+		return Foreign
+	}
+	return Accepted
+}
+
 // story is what the log tells of the way of a job until its verdict.
 func (hd *handed) story(now time.Time) []zap.Field {
 	return []zap.Field{zap.Duration("waited", now.Sub(hd.started)), zap.Int32("tries", hd.tries.Load())}
@@ -127,8 +143,8 @@
 
 // Submit keeps a job, so that it runs once whatever fails. A second try of the same id is the same job.
 func (fl *Fleet) Submit(ctx context.Context, sp *job.Spec) (Verdict, time.Duration) {
-	if fl.knownHome(sp.ID) {
-		return Accepted, 0
+	if hm, known := fl.homes.get(sp.ID); known {
+		return hm.verdict(sp.Organisation), 0
 	}
 	if fl.CutOff() || !fl.link.Reachable() && !fl.control.fresh(fl.opts.Now()) {
 		// Nothing was sent, so it has not run and will not.
@@ -309,7 +325,7 @@
 	for _, hd := range group {
 		id := string(hd.spec.ID)
 		name := cellName(hd.spec.Pool)
-		raw, err := json.Marshal(home{Cell: name, Queue: hd.spec.Queue})
+		raw, err := json.Marshal(hd.home())
 		if err != nil {
 			return ErrRefused
 		}
@@ -330,7 +346,7 @@
 	byCell := map[string][][]byte{}
 	for _, hd := range group {
 		name := cellName(hd.spec.Pool)
-		in.fl.homes.add(hd.spec.ID, name)
+		in.fl.homes.add(hd.spec.ID, hd.home())
 		in.fl.payloads.put(hd.spec.ID, hd.spec.Payload)
 		byCell[name] = append(byCell[name], hd.raw)
 		in.fl.logJob(event.JobAccepted, hd.spec.ID, append(hd.story(in.fl.opts.Now()), zap.String("cell", name), zap.Int64("epoch", int64(hd.spec.Epoch)))...)
@@ -345,23 +361,23 @@
 // the others. The job is as that try wrote it: this one may name another cell, and its epoch would make an owner that has just
 // taken over believe that no earlier one can have started it, so the owner is not told.
 func (in *intake) known(group []*handed, cf *Conflict) []*handed {
-	cells := map[string]string{}
+	homes := map[string]home{}
 	for _, rw := range cf.Rows {
 		var hm home
 		if rw.Table == tableHome && !rw.Deleted && rw.Version != 0 && json.Unmarshal(rw.Value, &hm) == nil {
-			cells[rw.Key] = hm.Cell
+			homes[rw.Key] = hm
 		}
 	}
 	var left []*handed
 	for _, hd := range group {
-		name, there := cells[string(hd.spec.ID)]
+		hm, there := homes[string(hd.spec.ID)]
 		if !there {
 			left = append(left, hd)
 			continue
 		}
-		in.fl.homes.add(hd.spec.ID, name)
+		in.fl.homes.add(hd.spec.ID, hm)
 		in.fl.logJob(event.JobKnown, hd.spec.ID)
-		hd.verdict <- Accepted
+		hd.verdict <- hm.verdict(hd.spec.Organisation)
 	}
 	return left
 }
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -375,13 +375,14 @@
 }
 
 // state returns a job's state if this owner has it in memory.
-func (ow *owner) state(id job.ID) (job.State, bool) {
+func (ow *owner) state(id job.ID) (word, bool) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	if ow.lost.Load() {
-		return "", false
+		return word{}, false
 	}
-	return ow.core.State(id)
+	st, known := ow.core.State(id)
+	return word{st, ow.core.Organisation(id)}, known
 }
 
 // pending counts a queue's jobs that have not begun, once the cell is loaded.
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -87,19 +87,19 @@
 	}
 }
 
-func (pr *peers) jobState(ctx context.Context, name string, id job.ID) (job.State, bool) {
+func (pr *peers) jobState(ctx context.Context, name string, id job.ID) (word, bool) {
 	cl, ok := pr.owner(name)
 	if !ok {
-		return "", false
+		return word{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	rp, err := cl.JobState(ctx, &peer.JobStateRequest{Cell: name, Job: string(id)})
 	if err != nil {
 		pr.fl.logPeer("jobState", name, err)
-		return "", false
+		return word{}, false
 	}
-	return job.State(rp.State), rp.Owner && rp.Known
+	return word{job.State(rp.State), job.OrganisationID(rp.Organisation)}, rp.Owner && rp.Known
 }
 
 func (pr *peers) cancelJob(name string, id job.ID) {
@@ -236,8 +236,8 @@
 	if ow == nil {
 		return &peer.JobStateResponse{}, nil
 	}
-	st, known := ow.state(job.ID(rq.Job))
-	return &peer.JobStateResponse{Owner: true, Known: known, State: string(st)}, nil
+	wd, known := ow.state(job.ID(rq.Job))
+	return &peer.JobStateResponse{Owner: true, Known: known, State: string(wd.state), Organisation: string(wd.organisation)}, nil
 }
 
 // CancelJob stops a job of a cell owned here, whose cancellation is kept.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -13,66 +13,61 @@
 	"go.uber.org/zap"
 )
 
-// homeCache remembers the cells of jobs that were accepted or asked for here.
+// homeCache remembers where jobs belong that were accepted or asked for here.
 type homeCache struct {
 	mu    sync.Mutex // guards what follows
-	cells map[job.ID]string
+	homes map[job.ID]home
 	order []job.ID
 }
 
-func (hc *homeCache) add(id job.ID, name string) {
+func (hc *homeCache) add(id job.ID, hm home) {
 	hc.mu.Lock()
 	defer hc.mu.Unlock()
-	if hc.cells == nil {
-		hc.cells = map[job.ID]string{}
+	if hc.homes == nil {
+		hc.homes = map[job.ID]home{}
 	}
-	if _, known := hc.cells[id]; known {
+	if _, known := hc.homes[id]; known {
 		return
 	}
-	hc.cells[id] = name
+	hc.homes[id] = hm
 	hc.order = append(hc.order, id)
 	if len(hc.order) > homesKept {
-		delete(hc.cells, hc.order[0])
+		delete(hc.homes, hc.order[0])
 		hc.order = hc.order[1:]
 	}
 }
 
-func (hc *homeCache) get(id job.ID) (string, bool) {
+func (hc *homeCache) get(id job.ID) (home, bool) {
 	hc.mu.Lock()
 	defer hc.mu.Unlock()
-	name, ok := hc.cells[id]
-	return name, ok
+	hm, ok := hc.homes[id]
+	return hm, ok
 }
 
-func (fl *Fleet) knownHome(id job.ID) bool {
-	_, ok := fl.homes.get(id)
-	return ok
-}
-
-// homeOf returns the cell of a job, from memory or from the store; ErrNoJob if the store has no such job.
-func (fl *Fleet) homeOf(ctx context.Context, id job.ID) (string, error) {
-	if name, ok := fl.homes.get(id); ok {
-		return name, nil
+// homeOf returns where a job belongs, from memory or from the store; ErrNoJob if the store has no such job.
+func (fl *Fleet) homeOf(ctx context.Context, id job.ID) (home, error) {
+	if hm, ok := fl.homes.get(id); ok {
+		return hm, nil
 	}
 	return fl.storedHome(ctx, id)
 }
 
-// storedHome returns the cell of a job as the store has it.
-func (fl *Fleet) storedHome(ctx context.Context, id job.ID) (string, error) {
+// storedHome returns where a job belongs as the store has it.
+func (fl *Fleet) storedHome(ctx context.Context, id job.ID) (home, error) {
 	rw, ok, err := fl.readRow(ctx, Place{tableHome, partName(homePart(id)), string(id)})
 	if err != nil {
-		return "", err
+		return home{}, err
 	}
 	if !ok {
-		return "", ErrNoJob
+		return home{}, ErrNoJob
 	}
 	var hm home
 	if err := json.Unmarshal(rw.Value, &hm); err != nil {
 		fl.opts.Log.Emit(event.JobRowRejected, zap.String("job", string(id)), zap.Error(err))
-		return "", ErrNotNow
+		return home{}, ErrNotNow
 	}
-	fl.homes.add(id, hm.Cell)
-	return hm.Cell, nil
+	fl.homes.add(id, hm)
+	return hm, nil
 }
 
 // readRow reads one row, again if the store does not answer, as long as the context allows.
@@ -94,30 +89,48 @@
 	}
 }
 
-// State returns a job's state: from its cell's owner, else from the store.
-func (fl *Fleet) State(ctx context.Context, queue *job.Queue, id job.ID) (job.State, error) {
-	name, known := fl.homes.get(id)
-	if !known {
-		name = cellName(queue.Pool)
+// State returns a job's state to a caller of an organisation: from its cell's owner, else from the store. The error is job.ErrForeign for
+// another organisation's job.
+func (fl *Fleet) State(ctx context.Context, by job.OrganisationID, queue *job.Queue, id job.ID) (job.State, error) {
+	name := cellName(queue.Pool)
+	if hm, known := fl.homes.get(id); known {
+		name = hm.Cell
 	}
-	if st, ok := fl.askOwner(ctx, name, id); ok {
-		return st, nil
+	if wd, ok := fl.askOwner(ctx, name, id); ok {
+		return wd.told(by)
 	}
 	// The owner may have forgotten it after its retention, so only the store knows whether there is such a job.
 	found, err := fl.storedHome(ctx, id)
 	if err != nil {
 		return "", err
 	}
-	if found != name {
-		if st, ok := fl.askOwner(ctx, found, id); ok {
-			return st, nil
+	if !job.MayUse(by, found.Organisation) {
+		return "", job.ErrForeign
+	}
+	if found.Cell != name {
+		if wd, ok := fl.askOwner(ctx, found.Cell, id); ok {
+			return wd.told(by)
 		}
 	}
-	return fl.storedState(ctx, found, id)
+	return fl.storedState(ctx, found.Cell, id)
+}
+
+// word is what a cell's owner says of a job.
+type word struct {
+	state        job.State
+	organisation job.OrganisationID
+}
+
+// told is the word as a caller of an organisation may have it.
+func (wd word) told(by job.OrganisationID) (job.State, error) {
+	if !job.MayUse(by, wd.organisation) {
+		return "", job.ErrForeign
+	}
+	return wd.state, nil
 }
 
 // askOwner asks a cell's owner, here or at a peer, for a job that it has in memory.
-func (fl *Fleet) askOwner(ctx context.Context, name string, id job.ID) (job.State, bool) {
+func (fl *Fleet) askOwner(ctx context.Context, name string, id job.ID) (word, bool) {
 	if ow := fl.ownerOf(name); ow != nil {
 		return ow.state(id)
 	}
@@ -152,12 +165,17 @@
 	return job.Queued, nil
 }
 
-// Cancel keeps that a job is given up, and has its owner stop what runs.
-func (fl *Fleet) Cancel(ctx context.Context, id job.ID) error {
-	name, err := fl.homeOf(ctx, id)
+// Cancel keeps that a job is given up by a caller of its organisation, and has its owner stop what runs. The error is job.ErrForeign for
+// another organisation's job.
+func (fl *Fleet) Cancel(ctx context.Context, by job.OrganisationID, id job.ID) error {
+	hm, err := fl.homeOf(ctx, id)
 	if err != nil {
 		return err
 	}
+	if !job.MayUse(by, hm.Organisation) {
+		return job.ErrForeign
+	}
+	name := hm.Cell
 	tx := Tx{Write: []Row{{Table: jobTable(name), Part: partName(homePart(id)), Key: string(id) + cancelSuffix, Value: []byte("{}")}}}
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, fl.link.patience())
--- a/job/job.go
+++ b/job/job.go
@@ -126,6 +126,8 @@
 	ID    ID      `json:"id"`
 	Queue QueueID `json:"queue"`
 	Pool  PoolID  `json:"pool"`
+	// Organisation is whose caller handed it in; empty for a call without a key.
+	Organisation OrganisationID `json:"organisation,omitempty"`
 	// Payload is given to every task.
 	Payload string `json:"payload,omitempty"`
 	Steps   []Step `json:"steps"`
@@ -236,6 +238,8 @@
 	Slack   time.Duration
 	// Advice is nil where placements need no approval.
 	Advice *Advice
+	// Public means that calls need no key.
+	Public bool
 }
 
 // Pool is a service's set of machines.
@@ -259,6 +263,16 @@
 	Queues  []Queue
 	Pools   []Pool
 	Limits  Limits
+	// Organisations is nil where the operator names none; then no call needs a key.
+	Organisations *Directory
+}
+
+// Caller returns whose call it is that came to a queue with a key. Where the operator names no organisations, no call needs one.
+func (cf *Configuration) Caller(qu *Queue, text string) (OrganisationID, error) {
+	if cf.Organisations == nil {
+		return "", nil
+	}
+	return cf.Organisations.Caller(qu, text)
 }
 
 // Queue returns a queue by its name, nil if there is none.
