--- a/cell/cell.go
+++ b/cell/cell.go
@@ -98,6 +98,8 @@
 	yieldFirm  bool
 	yieldUntil time.Time
 	run        runtimes
+	// ledger holds what the cell may have running of organisations.
+	ledger *Ledger
 	// neededSum is what the open jobs wanted at neededAt.
 	neededSum float64
 	neededAt  time.Time
@@ -115,7 +117,7 @@
 	return &Core{
 		opts: options.WithDefaults(), pool: pool, epoch: epoch,
 		queues: map[job.QueueID]job.Queue{}, jobs: map[job.ID]*jobState{}, workers: map[WorkerID]*worker{},
-		unresolved: map[WorkerID]time.Time{}, dirty: map[job.ID]*jobState{}, cordons: map[WorkerID]bool{}, run: runtimes{},
+		unresolved: map[WorkerID]time.Time{}, dirty: map[job.ID]*jobState{}, cordons: map[WorkerID]bool{}, run: runtimes{}, ledger: NewLedger(string(pool), epoch),
 	}
 }
 
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -15,6 +15,9 @@
 		cr.disband(now, st)
 		return
 	}
+	if !cr.mayStart(st, len(waiting)) {
+		return
+	}
 	for _, group := range racks(st.spec.RackLocal, usable) {
 		if cr.startGang(now, st, waiting, group) {
 			return
--- /dev/null
+++ b/cell/ledger.go
@@ -0,0 +1,336 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// Figures of how allowances are asked for and given back.
+const (
+	// allowanceSpare is the part of what a cell needs that it asks for beyond it, so that not each further job costs a write.
+	allowanceSpare = 4
+	// allowanceBase divides a cell's even part of a maximum: so much it holds without need, so that the first tasks of a turn start at once. The
+	// rest is there for whoever needs it.
+	allowanceBase = 2
+	// allowanceIdle is how long an allowance may be more than twice what is wanted before it is given back unasked: a queue's demand comes in
+	// turns of some seconds, and each write has its price.
+	allowanceIdle = time.Second
+	// allowanceGrain divides a maximum into the least parts that are given back one by one where several cells want more.
+	allowanceGrain = 32
+	// AllowancesMost is how many organisations one change names: each has a condition and a row, and a transaction takes 100 entries.
+	AllowancesMost = 45
+)
+
+// Allowance is what the owner of a cell may have running of an organisation: a part of its maximum that no other cell uses meanwhile.
+type Allowance struct {
+	// Epoch is that of the owner who holds it. An owner counts only on what it has written under its own.
+	Epoch job.Epoch `json:"epoch"`
+	Held  job.Size  `json:"held"`
+	// Wanted means that the cell could use more than there was left; the others give back what they do not need, and keep an even part.
+	Wanted bool `json:"wanted,omitempty"`
+}
+
+// Account is what the cells hold of one organisation's maximum, by cell. All cells' parts stand in one row, so that whoever changes its own
+// part, on the condition that the row is as it was read, cannot overlook another's.
+type Account map[string]Allowance
+
+// AccountRow is an account with the version of its row, 0 if there is none yet.
+type AccountRow struct {
+	Organisation job.OrganisationID
+	Account      Account
+	Version      int64
+}
+
+// Demand is what of an organisation could be started at once in a cell if there were room.
+type Demand struct {
+	// Waiting is all of it, Unit the least part that is of use: a task, or a gang.
+	Waiting, Unit job.Size
+}
+
+// Ledger keeps the maxima of organisations over all cells, as the owner of one cell sees them. It is pure: rows and times come in, rows to be
+// written go out.
+//
+// What an owner may have running is what the row says under its own epoch, and never more than the maximum less what the row gives to the
+// other cells. Every row is changed on the condition of its version, so the sum of all parts stays within the maximum that the writer knew,
+// without a holder, a lease or a clock: an owner that is cut off from the store goes on within its part, and nobody else counts on it. The
+// successor of an owner takes its part over by writing its own epoch, which ends the former owner's writes, and counts it as used up until it
+// knows all that the former owner has started.
+type Ledger struct {
+	cell  string
+	epoch job.Epoch
+	// cells is how many cells have queues.
+	cells  int
+	maxima map[job.OrganisationID]job.Size
+	rows   map[job.OrganisationID]*entry
+	// running is what runs, or may run, by organisation.
+	running map[job.OrganisationID]job.Size
+	// settled means that nothing of earlier owners runs that is not counted in running.
+	settled bool
+	// overtaken means that a row names a later owner of the cell.
+	overtaken bool
+}
+
+// entry is one organisation's row, and what this owner does with it.
+type entry struct {
+	AccountRow
+	// doubt is what this owner has asked for without knowing yet whether it is written, the least of several; nil if nothing.
+	doubt *job.Size
+	// inherited is what earlier owners held when this one took their part over.
+	inherited job.Size
+	// surplus is since when the part has been more than twice what is wanted.
+	surplus time.Time
+}
+
+// NewLedger returns a ledger for the owner of a cell.
+func NewLedger(cell string, epoch job.Epoch) *Ledger {
+	return &Ledger{
+		cell: cell, epoch: epoch, cells: 1,
+		maxima: map[job.OrganisationID]job.Size{}, rows: map[job.OrganisationID]*entry{}, running: map[job.OrganisationID]job.Size{},
+	}
+}
+
+// Configure puts the maxima of a configuration in force. Organisations that it does not name any more keep theirs for the jobs they have left.
+func (lg *Ledger) Configure(cf *job.Configuration) {
+	pools := map[job.PoolID]bool{}
+	for _, qu := range cf.Queues {
+		pools[qu.Pool] = true
+	}
+	lg.cells = max(1, len(pools))
+	for _, og := range cf.Organisations.List() {
+		if og.Bounded() {
+			lg.maxima[og.ID] = og.Maximum
+			continue
+		}
+		delete(lg.maxima, og.ID)
+	}
+}
+
+// Bounded reports whether any organisation has a maximum.
+func (lg *Ledger) Bounded() bool { return len(lg.maxima) > 0 }
+
+// Overtaken reports whether a row names a later owner of the cell.
+func (lg *Ledger) Overtaken() bool { return lg.overtaken }
+
+// Settle notes that all that earlier owners of the cell have started, and that still runs, is counted.
+func (lg *Ledger) Settle() { lg.settled = true }
+
+// count notes that a task came or went.
+func (lg *Ledger) count(id job.OrganisationID, sz job.Size, by int) {
+	if id == "" {
+		return
+	}
+	left := lg.running[id].Plus(sz.Times(by))
+	if left == (job.Size{}) {
+		delete(lg.running, id)
+		return
+	}
+	lg.running[id] = left
+}
+
+// Take takes a row as the store has it, unless a newer one is known.
+func (lg *Ledger) Take(rw AccountRow) {
+	en := lg.entry(rw.Organisation)
+	if rw.Version <= en.Version {
+		return
+	}
+	own, former := rw.Account[lg.cell], en.Account[lg.cell]
+	if own.Epoch == lg.epoch && former.Epoch != lg.epoch {
+		en.inherited = former.Held
+	}
+	// What was sent was for an earlier version: it is in this row, or it can never be done.
+	en.AccountRow, en.doubt = rw, nil
+	if own.Epoch > lg.epoch {
+		lg.overtaken = true
+	}
+}
+
+// Written tells that rows which Change returned are written, under a version.
+func (lg *Ledger) Written(rows []AccountRow, version int64) {
+	for _, rw := range rows {
+		rw.Version = version
+		lg.Take(rw)
+	}
+}
+
+func (lg *Ledger) entry(id job.OrganisationID) *entry {
+	en, ok := lg.rows[id]
+	if !ok {
+		en = &entry{AccountRow: AccountRow{Organisation: id}}
+		lg.rows[id] = en
+	}
+	return en
+}
+
+// MayOne reports whether one more task of an organisation may be started. One that is larger than the maximum may run alone.
+func (lg *Ledger) MayOne(id job.OrganisationID, task job.Size) bool {
+	if most, bounded := lg.maxima[id]; bounded {
+		task = boundedBy(task, most)
+	}
+	return lg.May(id, task)
+}
+
+// boundedBy is a size cut to a maximum in the figures that it bounds.
+func boundedBy(sz, most job.Size) job.Size {
+	cut := sz.Least(most)
+	if most.CPUMillis == 0 {
+		cut.CPUMillis = sz.CPUMillis
+	}
+	if most.MemoryMB == 0 {
+		cut.MemoryMB = sz.MemoryMB
+	}
+	if most.Accelerators == 0 {
+		cut.Accelerators = sz.Accelerators
+	}
+	return cut
+}
+
+// May reports whether so much more of an organisation may be started.
+func (lg *Ledger) May(id job.OrganisationID, more job.Size) bool {
+	most, bounded := lg.maxima[id]
+	if id == "" || !bounded {
+		return true
+	}
+	limit, ok := lg.limit(id, most)
+	used := lg.used(id)
+	if !ok || !within(used.Plus(more), limit, most) {
+		return false
+	}
+	// What ends above an even part goes to the others, who wait for it.
+	rivals := lg.entry(id).wanting(lg.cell)
+	return rivals == 0 || used == (job.Size{}) || within(used.Plus(more), most.Over(rivals+1), most)
+}
+
+// limit is what this cell may have running of an organisation; ok is false until this owner has written its part.
+func (lg *Ledger) limit(id job.OrganisationID, most job.Size) (limit job.Size, ok bool) {
+	en := lg.entry(id)
+	own := en.Account[lg.cell]
+	if own.Epoch != lg.epoch {
+		return job.Size{}, false
+	}
+	limit = own.Held
+	if en.doubt != nil {
+		// Others may see it already.
+		limit = limit.Least(*en.doubt)
+	}
+	return limit.Least(most.Minus(en.others(lg.cell))), true
+}
+
+// used is what counts against this cell's part of an organisation.
+func (lg *Ledger) used(id job.OrganisationID) job.Size {
+	if lg.settled {
+		return lg.running[id]
+	}
+	return lg.running[id].Plus(lg.entry(id).inherited)
+}
+
+// others is what the other cells hold.
+func (ac Account) others(cell string) job.Size {
+	var sum job.Size
+	for name, al := range ac {
+		if name != cell {
+			sum = sum.Plus(al.Held)
+		}
+	}
+	return sum
+}
+
+func (en *entry) others(cell string) job.Size { return en.Account.others(cell) }
+
+// wanting counts the other cells that could use more.
+func (en *entry) wanting(cell string) int {
+	count := 0
+	for name, al := range en.Account {
+		if name != cell && al.Wanted {
+			count++
+		}
+	}
+	return count
+}
+
+// within reports whether a size is within a limit in the figures that a maximum bounds.
+func within(sz, limit, most job.Size) bool {
+	return (most.CPUMillis == 0 || sz.CPUMillis <= limit.CPUMillis) && (most.MemoryMB == 0 || sz.MemoryMB <= limit.MemoryMB) &&
+		(most.Accelerators == 0 || sz.Accelerators <= limit.Accelerators)
+}
+
+// Change returns the rows that this owner is to write now, each on the condition of its version; none if all may stay as it is. Until it is
+// told how the write ended it counts on the lower of the old and the new.
+func (lg *Ledger) Change(now time.Time, waiting map[job.OrganisationID]Demand) []AccountRow {
+	var rows []AccountRow
+	for _, id := range slices.Sorted(maps.Keys(lg.maxima)) {
+		if len(rows) == AllowancesMost {
+			break
+		}
+		en := lg.entry(id)
+		next, due := lg.next(now, en, waiting[id])
+		if !due {
+			continue
+		}
+		en.ask(next.Held)
+		ac := maps.Clone(en.Account)
+		if ac == nil {
+			ac = Account{}
+		}
+		ac[lg.cell] = next
+		rows = append(rows, AccountRow{Organisation: id, Account: ac, Version: en.Version})
+	}
+	return rows
+}
+
+// ask notes what is asked for.
+func (en *entry) ask(held job.Size) {
+	if en.doubt != nil {
+		held = held.Least(*en.doubt)
+	}
+	en.doubt = &held
+}
+
+// next is the part that this cell should have of an organisation, and whether it is to be written.
+func (lg *Ledger) next(now time.Time, en *entry, dm Demand) (next Allowance, due bool) {
+	most := lg.maxima[en.Organisation]
+	own, used := en.Account[lg.cell], lg.used(en.Organisation)
+	need := used.Plus(boundedBy(dm.Waiting, most))
+	wanted := need.Plus(need.Over(allowanceSpare)).Most(most.Over(allowanceBase * lg.cells)).Least(most)
+	free := most.Minus(en.others(lg.cell)).OrNone()
+	next = Allowance{Epoch: lg.epoch, Held: own.Held}
+	rivals := en.wanting(lg.cell)
+	switch {
+	case own.Epoch != lg.epoch:
+		next.Held = own.Held.Most(used).Most(wanted.Least(free))
+	case rivals > 0 || !within(own.Held, free, most):
+		// What is not needed goes to those who need it, and none keeps more than an even part of what several need; what runs is not stopped.
+		fair := used.Most(wanted.Least(free).Least(need.Least(most.Over(rivals + 1))))
+		if unit := used.Plus(boundedBy(dm.Unit, most)); !within(unit, fair, most) {
+			// An even part in which nothing more can run would be of use to nobody, and a cell with nothing running may have one task.
+			fair = used
+			if used == (job.Size{}) && within(unit, free, most) {
+				fair = unit
+			}
+		}
+		if !within(own.Held, fair.Plus(most.Over(allowanceGrain)), most) || !within(need, own.Held, most) {
+			next.Held = fair
+		}
+	case !within(need, own.Held, most):
+		next.Held = own.Held.Most(wanted.Least(free))
+	case lg.idle(now, en, wanted):
+		next.Held = used.Most(wanted)
+	}
+	next.Wanted = !within(need, next.Held, most)
+	return next, next != own || en.doubt != nil
+}
+
+// idle reports whether a part has been far more than what is wanted for a while.
+func (lg *Ledger) idle(now time.Time, en *entry, wanted job.Size) bool {
+	held := en.Account[lg.cell].Held
+	if within(held, wanted.Times(2), lg.maxima[en.Organisation]) {
+		en.surplus = time.Time{}
+		return false
+	}
+	if en.surplus.IsZero() {
+		en.surplus = now
+	}
+	return now.Sub(en.surplus) > allowanceIdle
+}
--- /dev/null
+++ b/cell/ledger_model_test.go
@@ -0,0 +1,529 @@
+package cell
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+var (
+	ledgerSteps = flag.Int("ledgersteps", 100000, "events that the model of several cells' ledgers plays")
+	ledgerSeed  = flag.Int64("ledgerseed", 1, "first seed of the model of ledgers")
+)
+
+// Sizes of the worlds of the model of ledgers.
+const (
+	ledgerEvents  = 2500
+	ledgerCells   = 4
+	ledgerWorkers = 3
+	ledgerOrgs    = 3
+	ledgerTick    = 10 * time.Millisecond
+	// ledgerCalm is for how long nothing fails before it is checked that nobody is left waiting, as the users' rule has it.
+	ledgerCalm = 3 * time.Second
+)
+
+// ledgerFault is a rule that is left out on purpose, to see that the checks find it.
+type ledgerFault string
+
+const (
+	soundLedger       ledgerFault = "none"
+	noCondition       ledgerFault = "the store takes writes whose condition does not hold"
+	settledAtOnce     ledgerFault = "a successor counts nothing of what its predecessor may have running"
+	epochIgnored      ledgerFault = "a successor uses its predecessor's part without taking it over"
+	othersIgnored     ledgerFault = "the other cells' parts are not looked at when a maximum is lowered"
+	nothingGivenBack  ledgerFault = "what is not needed is kept"
+	endsNeverCounted  ledgerFault = "ends are not counted"
+	unadoptedOccupant ledgerFault = "what runs already is not counted when a worker is looked at"
+)
+
+// ledgerTask is a task as it really is.
+type ledgerTask struct {
+	org    job.OrganisationID
+	size   job.Size
+	cell   int
+	worker int
+	// owner counts it, nil once nobody does.
+	owner *ledgerOwner
+	ends  time.Time
+	// most is the maximum that counted when it was ordered: an order that is carried out late cannot know of a lower one.
+	most job.Size
+}
+
+// ledgerOwner is the owner of a cell, with what it knows.
+type ledgerOwner struct {
+	lg    *Ledger
+	cell  int
+	epoch job.Epoch
+	dead  bool
+	// cut is until when it reaches the store in no way.
+	cut time.Time
+	// fenced are the workers that it has looked at.
+	fenced map[int]bool
+	// knows is the newest configuration known to it.
+	knows   int
+	waiting map[job.OrganisationID][]job.Size
+	started map[job.OrganisationID]time.Time
+}
+
+// ledgerWorld is a world of several cells with one store.
+type ledgerWorld struct {
+	rnd   *rand.Rand
+	fault ledgerFault
+	now   time.Time
+	calm  time.Time
+	rows  map[job.OrganisationID]AccountRow
+	// past are the times at which versions were written.
+	past    map[job.OrganisationID][]AccountRow
+	written map[int64]time.Time
+	version int64
+	// configs are the maxima as they were put in force, at the times.
+	configs []map[job.OrganisationID]job.Size
+	put     []time.Time
+	owners  []*ledgerOwner
+	current [ledgerCells]*ledgerOwner
+	fence   [ledgerCells][ledgerWorkers]job.Epoch
+	running []*ledgerTask
+	late    []func()
+	err     error
+}
+
+func newLedgerWorld(seed int64, fault ledgerFault) *ledgerWorld {
+	lw := &ledgerWorld{
+		rnd: rand.New(rand.NewSource(seed)), fault: fault, now: time.Unix(1_700_000_000, 0),
+		rows: map[job.OrganisationID]AccountRow{}, past: map[job.OrganisationID][]AccountRow{}, written: map[int64]time.Time{},
+	}
+	lw.configure()
+	for at := range ledgerCells {
+		lw.replace(at)
+	}
+	return lw
+}
+
+func ledgerOrg(at int) job.OrganisationID { return job.OrganisationID(fmt.Sprintf("org%d", at)) }
+
+// configure puts new maxima in force; owners learn of them by and by.
+func (lw *ledgerWorld) configure() {
+	maxima := map[job.OrganisationID]job.Size{}
+	for at := range ledgerOrgs {
+		maxima[ledgerOrg(at)] = job.Size{CPUMillis: 1000 * (4 + lw.rnd.Intn(40)), MemoryMB: 1000 * (10 + lw.rnd.Intn(40))}
+	}
+	lw.configs, lw.put = append(lw.configs, maxima), append(lw.put, lw.now)
+}
+
+func (lw *ledgerWorld) learn(ow *ledgerOwner) {
+	ow.knows = len(lw.configs) - 1
+	cf := &job.Configuration{}
+	for at := range ledgerCells {
+		cf.Queues = append(cf.Queues, job.Queue{Pool: job.PoolID(fmt.Sprint(at))})
+	}
+	var list []job.Organisation
+	for id, most := range lw.configs[ow.knows] {
+		list = append(list, job.Organisation{ID: id, Maximum: most})
+	}
+	cf.Organisations = job.NewDirectory(list)
+	ow.lg.Configure(cf)
+}
+
+// replace gives a cell a new owner, which does not know yet what runs there. The one before may go on for a while.
+func (lw *ledgerWorld) replace(at int) {
+	lw.version++
+	ow := &ledgerOwner{cell: at, epoch: job.Epoch(lw.version), fenced: map[int]bool{}, waiting: map[job.OrganisationID][]job.Size{}, started: map[job.OrganisationID]time.Time{}}
+	ow.lg = NewLedger(fmt.Sprint(at), ow.epoch)
+	if before := lw.current[at]; before != nil {
+		// What waits is the cell's; each organisation begins to wait anew for what is checked.
+		ow.waiting = before.waiting
+		before.waiting = map[job.OrganisationID][]job.Size{}
+		if lw.rnd.Intn(3) > 0 {
+			lw.bury(before)
+		}
+	}
+	lw.current[at] = ow
+	lw.owners = append(lw.owners, ow)
+	lw.learn(ow)
+	if lw.fault == settledAtOnce {
+		ow.lg.Settle()
+	}
+	if lw.fault == epochIgnored {
+		for id, rw := range lw.rows {
+			copied := rw
+			copied.Account = maps.Clone(rw.Account)
+			al := copied.Account[ow.lg.cell]
+			al.Epoch = ow.epoch
+			copied.Account[ow.lg.cell] = al
+			ow.lg.entry(id).AccountRow = copied
+		}
+		ow.lg.Settle()
+	}
+}
+
+// bury ends an owner's process.
+func (lw *ledgerWorld) bury(ow *ledgerOwner) {
+	ow.dead = true
+	lw.owners = slices.DeleteFunc(lw.owners, func(other *ledgerOwner) bool { return other == ow })
+	for _, lt := range lw.running {
+		if lt.owner == ow {
+			lt.owner = nil
+		}
+	}
+}
+
+// look has an owner fence a worker and count what runs there.
+func (lw *ledgerWorld) look(ow *ledgerOwner, worker int) {
+	if ow.fenced[worker] || lw.fence[ow.cell][worker] > ow.epoch {
+		return
+	}
+	lw.fence[ow.cell][worker] = ow.epoch
+	ow.fenced[worker] = true
+	for _, lt := range lw.running {
+		if lt.cell == ow.cell && lt.worker == worker && lw.fault != unadoptedOccupant {
+			lt.owner = ow
+			ow.lg.count(lt.org, lt.size, 1)
+		}
+	}
+	if len(ow.fenced) == ledgerWorkers {
+		ow.lg.Settle()
+	}
+}
+
+// start has an owner start what waits, as far as its ledger allows. Some orders are carried out late.
+func (lw *ledgerWorld) start(ow *ledgerOwner) {
+	for at := range ledgerOrgs {
+		id := ledgerOrg(at)
+		for len(ow.waiting[id]) > 0 {
+			size := ow.waiting[id][0]
+			worker := lw.rnd.Intn(ledgerWorkers)
+			if !ow.fenced[worker] || !ow.lg.MayOne(id, size) {
+				break
+			}
+			ow.waiting[id] = ow.waiting[id][1:]
+			ow.started[id] = lw.now
+			ow.lg.count(id, size, 1)
+			lt := &ledgerTask{org: id, size: size, cell: ow.cell, worker: worker, owner: ow, ends: lw.now.Add(time.Duration(200+lw.rnd.Intn(1500)) * time.Millisecond), most: lw.mayBeInForce(ow, id)}
+			if lw.faulty() && lw.rnd.Intn(5) == 0 {
+				lw.later(func() { lw.begin(lt, ow) })
+				continue
+			}
+			lw.begin(lt, ow)
+		}
+	}
+}
+
+// begin carries an order out unless its worker has seen a later owner, and checks the maximum.
+func (lw *ledgerWorld) begin(lt *ledgerTask, ow *ledgerOwner) {
+	if lw.fence[lt.cell][lt.worker] > ow.epoch {
+		ow.lg.count(lt.org, lt.size, -1)
+		return
+	}
+	if ow.dead {
+		lt.owner = nil
+	}
+	lw.running = append(lw.running, lt)
+	sum, alone := job.Size{}, 0
+	for _, other := range lw.running {
+		if other.org == lt.org {
+			sum = sum.Plus(other.size)
+			alone++
+		}
+	}
+	most := lt.most.Most(lw.mayBeInForce(ow, lt.org))
+	if alone > 1 && !within(sum, most, most) && lw.err == nil {
+		lw.err = fmt.Errorf("%v has %v running, its maximum is %v", lt.org, sum, most)
+	}
+}
+
+// mayBeInForce is the highest maximum that may count: of all configurations since the oldest that a living owner knows, and since the row that
+// the starting one knows was the newest, by which it judges what the others hold.
+func (lw *ledgerWorld) mayBeInForce(ow *ledgerOwner, id job.OrganisationID) job.Size {
+	since := lw.now
+	for _, other := range lw.owners {
+		if other.knows < len(lw.configs)-1 {
+			since = earliest(since, lw.put[other.knows])
+		}
+	}
+	known := ow.lg.entry(id).Version
+	for _, rw := range lw.past[id] {
+		if rw.Version > known {
+			since = earliest(since, lw.written[rw.Version])
+			break
+		}
+	}
+	most := lw.configs[len(lw.configs)-1][id]
+	for at := len(lw.configs) - 2; at >= 0; at-- {
+		if lw.put[at+1].Before(since) {
+			break
+		}
+		most = most.Most(lw.configs[at][id])
+	}
+	return most
+}
+
+// later puts something off.
+func (lw *ledgerWorld) later(do func()) { lw.late = append(lw.late, do) }
+
+// faulty reports whether things fail at this time.
+func (lw *ledgerWorld) faulty() bool { return lw.calm.IsZero() }
+
+// change has an owner write what it needs or gives back.
+func (lw *ledgerWorld) change(ow *ledgerOwner) {
+	if ow.cut.After(lw.now) {
+		return
+	}
+	waiting := map[job.OrganisationID]Demand{}
+	for id, list := range ow.waiting {
+		for at, size := range list {
+			dm := waiting[id]
+			if at == 0 {
+				dm.Unit = size
+			}
+			dm.Waiting = dm.Waiting.Plus(size)
+			waiting[id] = dm
+		}
+	}
+	rows := ow.lg.Change(lw.now, waiting)
+	if lw.fault == nothingGivenBack {
+		rows = slices.DeleteFunc(rows, func(rw AccountRow) bool {
+			was, known := ow.lg.entry(rw.Organisation).Account[ow.lg.cell]
+			return known && was.Epoch == ow.epoch && within(rw.Account[ow.lg.cell].Held, was.Held, was.Held)
+		})
+	}
+	if len(rows) == 0 {
+		return
+	}
+	answered := true
+	if lw.faulty() {
+		switch lw.rnd.Intn(8) {
+		case 0:
+			return
+		case 1:
+			answered = false
+		case 2:
+			lw.later(func() { lw.commit(rows) })
+			return
+		}
+	}
+	version, conflicts := lw.commit(rows)
+	if !answered {
+		return
+	}
+	for _, rw := range conflicts {
+		ow.lg.Take(rw)
+	}
+	if version != 0 {
+		ow.lg.Written(rows, version)
+	}
+}
+
+// commit writes rows if their conditions hold.
+func (lw *ledgerWorld) commit(rows []AccountRow) (int64, []AccountRow) {
+	var conflicts []AccountRow
+	for _, rw := range rows {
+		if now := lw.rows[rw.Organisation]; now.Version != rw.Version {
+			conflicts = append(conflicts, now)
+		}
+	}
+	if len(conflicts) > 0 && lw.fault != noCondition {
+		return 0, conflicts
+	}
+	lw.version++
+	for _, rw := range rows {
+		rw.Version = lw.version
+		lw.rows[rw.Organisation] = rw
+		lw.past[rw.Organisation] = append(lw.past[rw.Organisation], rw)
+	}
+	lw.written[lw.version] = lw.now
+	return lw.version, nil
+}
+
+// hear has an owner take the rows of the feed.
+func (lw *ledgerWorld) hear(ow *ledgerOwner) {
+	if ow.cut.After(lw.now) {
+		return
+	}
+	for at := range ledgerOrgs {
+		rw, ok := lw.rows[ledgerOrg(at)]
+		if !ok || lw.faulty() && lw.rnd.Intn(3) == 0 {
+			continue
+		}
+		ow.lg.Take(rw)
+	}
+}
+
+// end ends tasks whose time has come and has their owners count it, some of them later.
+func (lw *ledgerWorld) end() {
+	lw.running = slices.DeleteFunc(lw.running, func(lt *ledgerTask) bool {
+		if lt.ends.After(lw.now) {
+			return false
+		}
+		if ow := lt.owner; ow != nil && lw.fault != endsNeverCounted {
+			count := func() { ow.lg.count(lt.org, lt.size, -1) }
+			if lw.faulty() && lw.rnd.Intn(4) == 0 {
+				lw.later(count)
+			} else {
+				count()
+			}
+		}
+		return true
+	})
+}
+
+// othersFault leaves out that a lowered maximum is shared with the others.
+func (lw *ledgerWorld) othersFault(ow *ledgerOwner) {
+	if lw.fault != othersIgnored {
+		return
+	}
+	for _, en := range ow.lg.rows {
+		for name := range en.Account {
+			if name != ow.lg.cell {
+				ac := maps.Clone(en.Account)
+				delete(ac, name)
+				en.Account = ac
+			}
+		}
+	}
+}
+
+// step plays one event.
+func (lw *ledgerWorld) step() {
+	lw.now = lw.now.Add(time.Duration(1+lw.rnd.Intn(10)) * ledgerTick)
+	lw.end()
+	ow := lw.owners[lw.rnd.Intn(len(lw.owners))]
+	switch lw.rnd.Intn(16) {
+	case 0, 1, 2, 3:
+		cur := lw.current[lw.rnd.Intn(ledgerCells)]
+		id := ledgerOrg(lw.rnd.Intn(ledgerOrgs))
+		for range 1 + lw.rnd.Intn(8) {
+			cur.waiting[id] = append(cur.waiting[id], job.Size{CPUMillis: 500 * (1 + lw.rnd.Intn(6)), MemoryMB: 100 * (1 + lw.rnd.Intn(20))})
+		}
+	case 4, 5:
+		lw.hear(ow)
+	case 6, 7, 8:
+		lw.change(ow)
+	case 9, 10:
+		lw.look(ow, lw.rnd.Intn(ledgerWorkers))
+	case 11:
+		if len(lw.late) > 0 {
+			at := lw.rnd.Intn(len(lw.late))
+			do := lw.late[at]
+			lw.late = slices.Delete(lw.late, at, at+1)
+			do()
+		}
+	case 12:
+		switch lw.rnd.Intn(12) {
+		case 0:
+			lw.configure()
+		case 1:
+			lw.replace(lw.rnd.Intn(ledgerCells))
+		case 2:
+			ow.cut = lw.now.Add(time.Duration(lw.rnd.Intn(4000)) * time.Millisecond)
+		}
+	case 13:
+		if !ow.cut.After(lw.now) {
+			lw.learn(ow)
+		}
+	}
+	lw.othersFault(ow)
+	lw.start(ow)
+}
+
+// rest lets everything become calm and checks that nobody waits whose organisation holds little.
+func (lw *ledgerWorld) rest() {
+	lw.calm = lw.now
+	for _, do := range lw.late {
+		do()
+	}
+	lw.late = nil
+	for _, ow := range slices.Clone(lw.owners) {
+		if lw.current[ow.cell] != ow {
+			lw.bury(ow)
+			continue
+		}
+		ow.cut = time.Time{}
+		lw.learn(ow)
+		for worker := range ledgerWorkers {
+			lw.look(ow, worker)
+		}
+	}
+	most := lw.configs[len(lw.configs)-1]
+	for lw.now.Before(lw.calm.Add(2 * ledgerCalm)) {
+		lw.now = lw.now.Add(5 * ledgerTick)
+		lw.end()
+		for _, ow := range lw.current {
+			lw.hear(ow)
+			lw.othersFault(ow)
+			lw.change(ow)
+			lw.start(ow)
+			for id, list := range ow.waiting {
+				lw.checkWait(ow, id, list, most[id])
+			}
+		}
+	}
+	lw.calm = time.Time{}
+}
+
+// checkWait fails if tasks of an organisation that holds under half of its maximum have waited for too long at a cell without a start.
+func (lw *ledgerWorld) checkWait(ow *ledgerOwner, id job.OrganisationID, list []job.Size, most job.Size) {
+	var sum job.Size
+	for _, lt := range lw.running {
+		if lt.org == id {
+			sum = sum.Plus(lt.size)
+		}
+	}
+	since := ow.started[id]
+	if since.Before(lw.calm) {
+		since = lw.calm
+	}
+	if len(list) == 0 || 2*sum.CPUMillis >= most.CPUMillis || 2*sum.MemoryMB >= most.MemoryMB {
+		ow.started[id] = lw.now
+		return
+	}
+	if lw.now.Sub(since) > ledgerCalm && lw.err == nil {
+		lw.err = fmt.Errorf("%v of cell %d waits since %v though %v of %v is in use; row %+v", id, ow.cell, lw.now.Sub(since), sum, most, lw.rows[id].Account)
+	}
+}
+
+// play plays a world and returns what its checks found.
+func playLedgers(seed int64, fault ledgerFault) error {
+	lw := newLedgerWorld(seed, fault)
+	for at := range ledgerEvents {
+		lw.step()
+		if at%500 == 499 {
+			lw.rest()
+		}
+		if lw.err != nil {
+			return fmt.Errorf("seed %d, event %d: %w", seed, at, lw.err)
+		}
+	}
+	return nil
+}
+
+// TestModelOfLedgers: owners of several cells start what they may under lost and late writes, stale rows, cuts, takeovers with late orders of
+// the former owner, and maxima that change. What an organisation has running stays within its maximum, and nobody is left waiting in calm.
+func TestModelOfLedgers(t *testing.T) {
+	for seed := *ledgerSeed; seed < *ledgerSeed+int64(max(1, *ledgerSteps/ledgerEvents)); seed++ {
+		if err := playLedgers(seed, soundLedger); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestModelOfLedgersFindsFaults: each rule that is left out is found within some worlds. Searching begins near a world that shows it. Writes
+// without an answer have a test of their own.
+func TestModelOfLedgersFindsFaults(t *testing.T) {
+	for fault, first := range map[ledgerFault]int64{noCondition: 1, settledAtOnce: 309, epochIgnored: 210, othersIgnored: 1, nothingGivenBack: 1, endsNeverCounted: 1, unadoptedOccupant: 25} {
+		var err error
+		for seed := first; seed < first+60 && err == nil; seed++ {
+			err = playLedgers(seed, fault)
+		}
+		if err == nil {
+			t.Errorf("not found: %s", fault)
+			continue
+		}
+		t.Logf("%s: %v", fault, err)
+	}
+}
--- /dev/null
+++ b/cell/ledger_test.go
@@ -0,0 +1,234 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// ledgerBed is a store of accounts with the ledgers of some cells, all of them in touch.
+type ledgerBed struct {
+	t       *testing.T
+	now     time.Time
+	version int64
+	rows    map[job.OrganisationID]AccountRow
+	cells   []*Ledger
+	writes  int
+}
+
+// cores is a size of whole cores.
+func cores(count int) job.Size { return job.Size{CPUMillis: 1000 * count} }
+
+func newLedgerBed(t *testing.T, cells int, most job.Size) *ledgerBed {
+	t.Helper()
+	lb := &ledgerBed{t: t, now: time.Unix(1_700_000_000, 0), rows: map[job.OrganisationID]AccountRow{}}
+	for at := range cells {
+		lg := NewLedger(fmt.Sprint(at), job.Epoch(100+at))
+		lg.Settle()
+		lb.cells = append(lb.cells, lg)
+	}
+	lb.bound(most)
+	lb.rounds(cells, nil)
+	return lb
+}
+
+// bound puts a maximum in force.
+func (lb *ledgerBed) bound(most job.Size) {
+	cf := &job.Configuration{Organisations: job.NewDirectory([]job.Organisation{{ID: "mill", Maximum: most}})}
+	for at := range lb.cells {
+		cf.Queues = append(cf.Queues, job.Queue{Pool: job.PoolID(fmt.Sprint(at))})
+	}
+	for _, lg := range lb.cells {
+		lg.Configure(cf)
+	}
+}
+
+// rounds has all cells write what they need and hear of the others.
+func (lb *ledgerBed) rounds(count int, waiting map[int]Demand) {
+	for range count {
+		lb.now = lb.now.Add(50 * time.Millisecond)
+		for at, lg := range lb.cells {
+			rows := lg.Change(lb.now, map[job.OrganisationID]Demand{"mill": waiting[at]})
+			if len(rows) == 0 {
+				continue
+			}
+			if lb.rows["mill"].Version != rows[0].Version {
+				lg.Take(lb.rows["mill"])
+				continue
+			}
+			lb.version++
+			lb.writes++
+			rows[0].Version = lb.version
+			lb.rows["mill"] = rows[0]
+			lg.Written(rows, lb.version)
+		}
+		for _, lg := range lb.cells {
+			lg.Take(lb.rows["mill"])
+		}
+	}
+}
+
+// fill starts tasks of one core at a cell until it may start no more, and returns how many it started.
+func (lb *ledgerBed) fill(at int) int {
+	count := 0
+	for ; lb.cells[at].MayOne("mill", cores(1)); count++ {
+		lb.cells[at].count("mill", cores(1), 1)
+	}
+	return count
+}
+
+// TestTurnGetsTheWholeMaximum replays the load of queues that ask in turns: one cell after the other needs all that its organisation may have,
+// and gets it within some rounds though the one before held it.
+func TestTurnGetsTheWholeMaximum(t *testing.T) {
+	lb := newLedgerBed(t, 4, cores(100))
+	for turn := range 8 {
+		at := turn % 4
+		got := 0
+		for range 10 {
+			lb.rounds(1, map[int]Demand{at: {Waiting: cores(200), Unit: cores(1)}})
+			got += lb.fill(at)
+		}
+		if got != 100 {
+			t.Errorf("turn %d: %d of 100 tasks were started in 0.5 s", turn, got)
+		}
+		lb.cells[at].count("mill", cores(got), -1)
+	}
+	// An even split would have started 25; the price is in writes.
+	if lb.writes > 8*12 {
+		t.Errorf("%d writes for 8 turns", lb.writes)
+	}
+}
+
+// TestTwoTurnsShareEvenly: two cells that need all get a half each, once what the first had running has ended.
+func TestTwoTurnsShareEvenly(t *testing.T) {
+	lb := newLedgerBed(t, 4, cores(100))
+	all := Demand{Waiting: cores(200), Unit: cores(1)}
+	lb.rounds(10, map[int]Demand{0: all})
+	if got := lb.fill(0); got != 100 {
+		t.Fatalf("the first alone: %d", got)
+	}
+	second := 0
+	for range 60 {
+		lb.rounds(1, map[int]Demand{0: all, 1: all})
+		if lb.cells[0].running["mill"].CPUMillis > 0 {
+			lb.cells[0].count("mill", cores(1), -1)
+		}
+		lb.fill(0)
+		second += lb.fill(1)
+	}
+	if second < 48 || second > 50 {
+		t.Errorf("the second has %d", second)
+	}
+}
+
+// TestUnansweredChangeCountsAsItsLeast: an owner that has given some back without an answer may not use it, however often it asks for it again.
+func TestUnansweredChangeCountsAsItsLeast(t *testing.T) {
+	lb := newLedgerBed(t, 2, cores(100))
+	lb.rounds(4, map[int]Demand{0: {Waiting: cores(100), Unit: cores(1)}})
+	lg := lb.cells[0]
+	if !lg.May("mill", cores(100)) {
+		t.Fatal("the first has all")
+	}
+	lb.now = lb.now.Add(2 * allowanceIdle)
+	lg.Change(lb.now, nil)
+	lb.now = lb.now.Add(2 * allowanceIdle)
+	less := lg.Change(lb.now, nil)
+	if len(less) != 1 || less[0].Account["0"].Held.CPUMillis >= 100_000 {
+		t.Fatalf("given back: %+v", less)
+	}
+	if lg.May("mill", cores(100)) {
+		t.Error("what may have been given back is used")
+	}
+	lg.Change(lb.now, map[job.OrganisationID]Demand{"mill": {Waiting: cores(100), Unit: cores(1)}})
+	if lg.May("mill", cores(100)) {
+		t.Error("what was asked for again is used before the store has said so")
+	}
+}
+
+// TestLoweredMaximum: nothing is started until what all cells have is below the new one, wherever it runs.
+func TestLoweredMaximum(t *testing.T) {
+	lb := newLedgerBed(t, 3, cores(90))
+	lb.rounds(4, map[int]Demand{0: {Waiting: cores(80), Unit: cores(1)}})
+	lb.fill(0)
+	lb.bound(cores(30))
+	lb.rounds(3, map[int]Demand{1: {Waiting: cores(10), Unit: cores(1)}})
+	if got := lb.fill(0) + lb.fill(1) + lb.fill(2); got != 0 {
+		t.Fatalf("%d were started above the maximum", got)
+	}
+	lb.cells[0].count("mill", cores(60), -1)
+	lb.rounds(6, map[int]Demand{1: {Waiting: cores(10), Unit: cores(1)}})
+	running := lb.cells[0].running["mill"].CPUMillis / 1000
+	if got := lb.fill(1); got == 0 || got+running > 30 {
+		t.Errorf("%d beside %d", got, running)
+	}
+}
+
+// TestTaskLargerThanTheMaximumRunsAlone: it would wait for ever otherwise. A gang of that size does wait: it would exceed the maximum by more than
+// one task.
+func TestTaskLargerThanTheMaximumRunsAlone(t *testing.T) {
+	lb := newLedgerBed(t, 3, cores(4))
+	lb.rounds(4, map[int]Demand{2: {Waiting: cores(6), Unit: cores(6)}})
+	lg := lb.cells[2]
+	if lg.May("mill", cores(6)) || !lg.MayOne("mill", cores(6)) {
+		t.Fatalf("a gang: %v, a task: %v; %+v", lg.May("mill", cores(6)), lg.MayOne("mill", cores(6)), lb.rows["mill"].Account)
+	}
+	lg.count("mill", cores(6), 1)
+	if lg.MayOne("mill", cores(1)) || lb.cells[0].MayOne("mill", cores(1)) {
+		t.Error("something beside it")
+	}
+}
+
+// TestPartsTooSmallForATaskAreGivenBack: three cells with tasks of half the maximum, whose even parts hold none; a world of the model stood still.
+func TestPartsTooSmallForATaskAreGivenBack(t *testing.T) {
+	lb := newLedgerBed(t, 3, cores(8))
+	dm := Demand{Waiting: cores(8), Unit: cores(4)}
+	lb.rounds(8, map[int]Demand{0: dm, 1: dm, 2: dm})
+	count := 0
+	for _, lg := range lb.cells {
+		if lg.MayOne("mill", cores(4)) {
+			lg.count("mill", cores(4), 1)
+			count++
+		}
+	}
+	if count != 2 {
+		t.Errorf("%d tasks run; %+v", count, lb.rows["mill"].Account)
+	}
+}
+
+// TestSuccessorCountsWhatItDoesNotKnow: a new owner starts what the maximum leaves beside all that the one before may have running.
+func TestSuccessorCountsWhatItDoesNotKnow(t *testing.T) {
+	lb := newLedgerBed(t, 2, cores(100))
+	lb.rounds(4, map[int]Demand{0: {Waiting: cores(60), Unit: cores(1)}})
+	held := lb.rows["mill"].Account["0"].Held.CPUMillis / 1000
+	before := lb.cells[0]
+	lb.fill(0)
+	next := NewLedger("0", 500)
+	lb.cells[0] = next
+	lb.bound(cores(100))
+	if next.MayOne("mill", cores(1)) {
+		t.Error("before it has taken the part over")
+	}
+	lb.rounds(4, map[int]Demand{0: {Waiting: cores(100), Unit: cores(1)}})
+	if got := lb.fill(0); got+held > 100 || got == 0 {
+		t.Errorf("%d beside the %d that may run", got, held)
+	}
+	before.Take(lb.rows["mill"])
+	if !before.Overtaken() {
+		t.Error("the one before does not learn of its successor")
+	}
+}
+
+// TestOrganisationsWithoutMaximum: nothing is written for them, and figures of 0 bound nothing.
+func TestOrganisationsWithoutMaximum(t *testing.T) {
+	lb := newLedgerBed(t, 2, job.Size{})
+	if lb.writes != 0 || !lb.cells[0].MayOne("mill", cores(1000)) || !lb.cells[0].MayOne("", cores(1)) {
+		t.Error("bounded without a maximum")
+	}
+	lb.bound(job.Size{MemoryMB: 100})
+	lb.rounds(3, nil)
+	if !lb.cells[0].MayOne("mill", cores(1000)) || lb.cells[0].May("mill", job.Size{MemoryMB: 101}) {
+		t.Error("a maximum of memory alone")
+	}
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -239,6 +239,9 @@
 	if len(waiting)+len(suspects) == 0 {
 		return !held
 	}
+	if !cr.mayStart(st, 1) {
+		return false
+	}
 	if st.since.IsZero() {
 		st.since = now
 	}
@@ -257,7 +260,7 @@
 	}
 	held = !cr.placeSuspects(rd, st, suspects) || held
 	for count, at := range waiting {
-		if !cr.window.open() || cr.yields(rd, st.job) {
+		if !cr.window.open() || cr.yields(rd, st.job) || !cr.mayStart(st, 1) {
 			return false
 		}
 		cd := cr.choose(now, st, at, rd.usable)
--- a/cell/trial.go
+++ b/cell/trial.go
@@ -84,7 +84,7 @@
 // left waiting.
 func (cr *Core) placeSuspects(rd *round, st *step, waiting []int) bool {
 	for count, at := range waiting {
-		if !cr.window.open() || cr.yields(rd, st.job) {
+		if !cr.window.open() || cr.yields(rd, st.job) || !cr.mayStart(st, 1) {
 			return false
 		}
 		if rd.trials >= rd.trialsMost() || st.onTrial() >= trialsStep {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -111,6 +111,8 @@
 	// take what is left, and that last.
 	used                      job.Size
 	serving, filling, lasting int
+	// ledger counts what runs by organisation.
+	ledger *Ledger
 	// trials counts the attempts of suspects there.
 	trials int
 	// lapsed are the attempts that were given up while the worker was silent; its end may have been theirs.
@@ -141,7 +143,7 @@
 func (cr *Core) worker(id WorkerID) *worker {
 	wk, ok := cr.workers[id]
 	if !ok {
-		wk = &worker{info: Worker{ID: id}, places: map[job.Task]*placement{}, foreign: map[job.Task]*foreignRun{}}
+		wk = &worker{info: Worker{ID: id}, ledger: cr.ledger, places: map[job.Task]*placement{}, foreign: map[job.Task]*foreignRun{}}
 		cr.workers[id] = wk
 		at, _ := slices.BinarySearchFunc(cr.list, id, func(one *worker, id WorkerID) int { return cmp.Compare(one.info.ID, id) })
 		cr.list = slices.Insert(slices.Clone(cr.list), at, wk)
@@ -160,6 +162,7 @@
 	wk.places[pl.task] = pl
 	wk.placed = append(wk.placed[:len(wk.placed):len(wk.placed)], pl)
 	wk.used = wk.used.Plus(pl.room)
+	wk.ledger.count(pl.step.job.spec.Organisation, pl.step.spec.Size, 1)
 	wk.count(pl.step.spec, 1)
 	if pl.trial {
 		wk.trials++
@@ -174,6 +177,7 @@
 	delete(wk.places, pl.task)
 	wk.placed = slices.DeleteFunc(slices.Clone(wk.placed), func(other *placement) bool { return other == pl })
 	wk.used = wk.used.Minus(pl.room)
+	wk.ledger.count(pl.step.job.spec.Organisation, pl.step.spec.Size, -1)
 	wk.count(pl.step.spec, -1)
 	if pl.trial {
 		wk.trials--
--- /dev/null
+++ b/fleet/accounts.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/aspenseam/aspenseam/cell"
+	"github.com/aspenseam/aspenseam/event"
+	"github.com/aspenseam/aspenseam/job"
+	"go.uber.org/zap"
+)
+
+// Times of the accounts of organisations, and where they lie.
+const (
+	// accountGap is the pause between two feed calls. What one cell gives back another waits for.
+	accountGap = 30 * time.Millisecond
+	// accountEvery is how often an owner looks whether it needs more of a maximum, or less.
+	accountEvery = 50 * time.Millisecond
+	// accountIdle is how often an owner looks whether any organisation has a maximum.
+	accountIdle = 500 * time.Millisecond
+	// accountPart is the part of all accounts, so that one transaction can change several.
+	accountPart = "accounts"
+)
+
+// needsNoAccounts reports whether this instance has no use for the accounts: it owns no cell, or no organisation has a maximum.
+func (fl *Fleet) needsNoAccounts() bool { return fl.ownsNothing() || !fl.boundsAny() }
+
+// boundsAny reports whether an organisation has a maximum.
+func (fl *Fleet) boundsAny() bool {
+	cf := fl.config.Load()
+	if cf == nil {
+		return false
+	}
+	for _, og := range cf.Organisations.List() {
+		if og.Bounded() {
+			return true
+		}
+	}
+	return false
+}
+
+// accountsChanged hands changed accounts to the cells owned here.
+func (fl *Fleet) accountsChanged(rows []Row, _ time.Time) {
+	for _, rw := range rows {
+		if ar, ok := fl.accountOf(rw); ok {
+			for _, ow := range fl.owned() {
+				ow.post(func(cr *cell.Core, _ time.Time) { cr.TakeAccount(ar) })
+			}
+		}
+	}
+}
+
+// knownAccounts are the accounts as they are known here, for a new owner; what it lacks it meets when it writes its own part.
+func (fl *Fleet) knownAccounts() []cell.AccountRow {
+	fl.accounts.mu.Lock()
+	defer fl.accounts.mu.Unlock()
+	var list []cell.AccountRow
+	for _, rw := range fl.accounts.rows {
+		if ar, ok := fl.accountOf(rw); ok {
+			list = append(list, ar)
+		}
+	}
+	return list
+}
+
+// accountOf reads a row. One that cannot be read changes nothing: the parts that are known hold.
+func (fl *Fleet) accountOf(rw Row) (cell.AccountRow, bool) {
+	ar := cell.AccountRow{Organisation: job.OrganisationID(rw.Key), Version: rw.Version}
+	if rw.Deleted || rw.Version == 0 {
+		return ar, false
+	}
+	if err := json.Unmarshal(rw.Value, &ar.Account); err != nil {
+		fl.opts.Log.Emit(event.AccountRejected, zap.String("organisation", rw.Key), zap.Error(err))
+		return ar, false
+	}
+	return ar, true
+}
+
+// account writes what this owner needs of organisations' maxima, or gives back, until the context ends.
+func (ow *owner) account(ctx context.Context) {
+	for ctx.Err() == nil && !ow.lost.Load() {
+		if !ow.fl.boundsAny() {
+			sleep(ctx, accountIdle)
+			continue
+		}
+		sleep(ctx, accountEvery)
+		rows := ow.accountsDue()
+		if len(rows) > 0 && !ow.writeAccounts(ctx, rows) {
+			sleep(ctx, writeRetry)
+		}
+	}
+}
+
+// accountsDue are the rows that are to be written now.
+func (ow *owner) accountsDue() []cell.AccountRow {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if !ow.began || ow.silenced {
+		return nil
+	}
+	return ow.core.Accounts(ow.fl.opts.Now())
+}
+
+// writeAccounts writes rows on the condition of their versions, and reports whether the store said how that ended.
+func (ow *owner) writeAccounts(ctx context.Context, rows []cell.AccountRow) bool {
+	tx, err := accountTx(rows)
+	if err != nil {
+		ow.fl.opts.Log.Emit(event.SaveFailed, zap.String("cell", ow.name), zap.Error(err))
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, ow.fl.link.patience())
+	version, err := ow.fl.link.Commit(callCtx, tx)
+	cancel()
+	var cf *Conflict
+	switch {
+	case err == nil:
+		ow.fl.fig.accountsWritten.Inc(int64(len(rows)))
+		ow.mu.Lock()
+		ow.core.AccountsWritten(rows, version)
+		ow.mu.Unlock()
+		// What waited for it can start.
+		ow.nudge()
+		return true
+	case errors.As(err, &cf):
+		ow.fl.fig.accountsContended.Inc(1)
+		ow.fl.accountsChanged(cf.Rows, ow.fl.opts.Now())
+		return true
+	}
+	return false
+}
+
+// accountTx writes accounts, each on the condition of its version.
+func accountTx(rows []cell.AccountRow) (Tx, error) {
+	var tx Tx
+	for _, ar := range rows {
+		raw, err := json.Marshal(ar.Account)
+		if err != nil {
+			return tx, err
+		}
+		at := Place{tableAccount, accountPart, string(ar.Organisation)}
+		tx.Expect = append(tx.Expect, Expect{at, ar.Version})
+		tx.Write = append(tx.Write, Row{Table: at.Table, Part: at.Part, Key: at.Key, Value: raw})
+	}
+	return tx, nil
+}
--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -218,6 +218,8 @@
 	ends   map[cell.WorkerID][]cell.End
 	last   map[cell.WorkerID]int64
 	starts map[job.Task]int
+	// most is how many tasks ran at once at the most.
+	most int
 }
 
 type fakeRun struct {
@@ -229,6 +231,23 @@
 	return &fakeWorkers{began: time.Now(), takes: takes, tokens: map[cell.WorkerID]cell.Token{}, runs: map[cell.WorkerID]map[job.Task]fakeRun{}, ends: map[cell.WorkerID][]cell.End{}, last: map[cell.WorkerID]int64{}, starts: map[job.Task]int{}}
 }
 
+// note keeps how many tasks ran at once at the most.
+func (fw *fakeWorkers) note() {
+	running := 0
+	for id := range fw.runs {
+		fw.settle(id)
+		running += len(fw.runs[id])
+	}
+	fw.most = max(fw.most, running)
+}
+
+// mostAtOnce is how many tasks ran at once at the most.
+func (fw *fakeWorkers) mostAtOnce() int {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	return fw.most
+}
+
 func (fw *fakeWorkers) clock() int64 { return 1000 + time.Since(fw.began).Milliseconds() }
 
 func (fw *fakeWorkers) settle(id cell.WorkerID) {
@@ -284,6 +303,7 @@
 			fw.runs[order.Worker] = map[job.Task]fakeRun{}
 		}
 		fw.runs[order.Worker][order.Task] = fakeRun{order.Attempt, now.Add(fw.takes)}
+		fw.note()
 		fw.starts[order.Task]++
 	case cell.Stop:
 		delete(fw.runs[order.Worker], order.Task)
@@ -343,6 +363,8 @@
 	workers *fakeWorkers
 	// workersAt are the workers as a node calls them; nil for the same ones everywhere.
 	workersAt func(name string) Workers
+	// format reads rows; plainFormat if it is nil.
+	format Format
 	// halls are those of nodes; h unless one is named.
 	halls map[string]string
 	// retention is how long the state of an ended job is kept.
@@ -393,7 +415,11 @@
 	if named, ok := st.halls[name]; ok {
 		hall = named
 	}
-	fl := New(Options{Name: name, Hall: hall, Address: ln.Addr().String(), Store: way, Workers: workers, Machines: noMachines{}, Format: plainFormat{}})
+	var format Format = plainFormat{}
+	if st.format != nil {
+		format = st.format
+	}
+	fl := New(Options{Name: name, Hall: hall, Address: ln.Addr().String(), Store: way, Workers: workers, Machines: noMachines{}, Format: format})
 	srv := &http.Server{Handler: fl.Handler()}
 	go func() {
 		// It ends when the test closes it.
--- a/fleet/figures.go
+++ b/fleet/figures.go
@@ -16,6 +16,8 @@
 	accepted, refused, unknown                metrics.Counter
 	// keysRejected counts calls without a key that the configuration holds.
 	keysRejected metrics.Counter
+	// accountsWritten counts rows of organisations' accounts, accountsContended writes of them that another owner's came before.
+	accountsWritten, accountsContended metrics.Counter
 	// workersLost counts the workers that ended with tasks on them, tasksLost those tasks, givenUp the jobs that crashed too many.
 	workersLost, tasksLost, givenUp metrics.Counter
 	// registrationsRejected counts registrations that could not be read.
@@ -40,8 +42,8 @@
 	fg := figures{
 		claims: counter("cells.claimed"), looks: counter("workers.looks"), starts: counter("workers.starts"), saves: counter("store.saves"), storeFailed: counter("store.failed"),
 		accepted: counter("jobs.accepted"), refused: counter("jobs.refused"), unknown: counter("jobs.unknown"),
-		keysRejected: counter("calls.keysRejected"),
-		workersLost:  counter("workers.lost"), tasksLost: counter("workers.lostTasks"), givenUp: counter("jobs.givenUp"), registrationsRejected: counter("workers.registrationsRejected"),
+		keysRejected: counter("calls.keysRejected"), accountsWritten: counter("accounts.written"), accountsContended: counter("accounts.contended"),
+		workersLost: counter("workers.lost"), tasksLost: counter("workers.lostTasks"), givenUp: counter("jobs.givenUp"), registrationsRejected: counter("workers.registrationsRejected"),
 		accept:   histogram("jobs.acceptMicros"),
 		outcomes: map[cell.Outcome]metrics.Counter{}, commits: map[matter]metrics.Histogram{}, unanswered: map[matter]metrics.Counter{},
 		writeWait: histogram("owner.writeWaitMicros"),
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,6 +30,8 @@
 	tableProgress = "progress"
 	// tablePayload holds what the tasks of open jobs are given, apart from the jobs, since those are read by owners that seldom need it.
 	tablePayload = "payload"
+	// tableAccount holds a row for each organisation with a maximum: what each cell has of it. Owners follow it.
+	tableAccount = "account"
 	// tableJob begins the names of the tables of open jobs; each cell has one, which several may share.
 	tableJob = "job"
 )
@@ -81,6 +83,8 @@
 	control  *watch
 	operator *watch
 	registry *watch
+	// accounts follows what cells hold of organisations' maxima.
+	accounts *watch
 	members  *members
 	mu       sync.Mutex // guards owners and claiming
 	owners   map[string]*owner
@@ -142,6 +146,8 @@
 	fl.operator = newWatch(fl, options.Format.OperatorTable(), fixed(operatorGap), quietWait, fl.operatorChanged)
 	fl.registry = newWatch(fl, options.Format.RegistryTable(), fixed(registryGap), quietWait, fl.registryChanged)
 	fl.registry.idle, fl.registry.forget = fl.ownsNothing, fl.roster.clear
+	fl.accounts = newWatch(fl, tableAccount, fixed(accountGap), quietWait, fl.accountsChanged)
+	fl.accounts.idle, fl.accounts.forget = fl.needsNoAccounts, func() {}
 	for part := range fl.intakes {
 		fl.intakes[part] = newIntake(fl, part)
 	}
@@ -155,7 +161,7 @@
 func (fl *Fleet) Run(ctx context.Context) {
 	fl.background = ctx
 	var wg sync.WaitGroup
-	for _, wt := range []*watch{fl.control, fl.operator, fl.registry} {
+	for _, wt := range []*watch{fl.control, fl.operator, fl.registry, fl.accounts} {
 		wg.Go(func() { wt.run(ctx) })
 	}
 	for _, in := range fl.intakes {
@@ -224,8 +230,9 @@
 	fl.opts.Log.Emit(event.QueuesInForce, zap.Int64("version", cf.Version), zap.Int("queues", len(cf.Queues)), zap.Int("pools", len(cf.Pools)), zap.Int("organisations", len(cf.Organisations.List())))
 	fl.tellShared(cf)
 	for _, ow := range fl.owned() {
-		ow.post(func(cr *cell.Core, _ time.Time) { cr.Configure(cf.Queues) })
+		ow.post(func(cr *cell.Core, _ time.Time) { cr.Configure(cf.Queues); cr.Organise(cf) })
 	}
+	fl.accounts.wake()
 }
 
 func (fl *Fleet) owned() []*owner {
--- a/fleet/matter.go
+++ b/fleet/matter.go
@@ -19,10 +19,11 @@
 	matterCell     matter = "cell"
 	matterBeat     matter = "beat"
 	matterMachines matter = "machines"
+	matterAccounts matter = "accounts"
 	matterOther    matter = "other"
 )
 
-var matters = []matter{matterIntake, matterProgress, matterCell, matterBeat, matterMachines, matterOther}
+var matters = []matter{matterIntake, matterProgress, matterCell, matterBeat, matterMachines, matterAccounts, matterOther}
 
 // matterOf tells what a transaction is for, and in which part.
 func matterOf(tx Tx) (matter, string) {
@@ -35,6 +36,8 @@
 		return matterIntake, first.Part
 	case first.Table == tableProgress:
 		return matterProgress, first.Part
+	case first.Table == tableAccount:
+		return matterAccounts, first.Part
 	case first.Table != tableControl:
 		return matterOther, first.Part
 	case first.Part == machinesCell:
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -80,6 +80,7 @@
 	fl.owners[name] = ow
 	fl.mu.Unlock()
 	fl.registry.wake()
+	fl.accounts.wake()
 	if !ow.readProgress(ctx) {
 		close(ow.done)
 		return
@@ -89,15 +90,20 @@
 	ow.core.TakeOver(claimed, asked, before.Workers, before.Released)
 	if cf := fl.config.Load(); cf != nil {
 		ow.core.Configure(cf.Queues)
+		ow.core.Organise(cf)
 	}
 	for _, wk := range fl.roster.of(job.PoolID(name)) {
 		ow.core.Register(claimed, wk)
 	}
 	ow.core.Enlisted(row.Workers)
 	ow.core.Pause(fl.pausedQueues())
+	for _, ar := range fl.knownAccounts() {
+		ow.core.TakeAccount(ar)
+	}
 	ow.mu.Unlock()
 	go ow.jobs.run(ctx)
 	go ow.write(ctx)
+	go ow.account(ctx)
 	go ow.archive(ctx)
 	go ow.census(ctx)
 	go ow.relays.run(ctx)
@@ -179,6 +185,11 @@
 	ow.mu.Lock()
 	ow.events = append(ow.events, ev)
 	ow.mu.Unlock()
+	ow.nudge()
+}
+
+// nudge has the core plan soon.
+func (ow *owner) nudge() {
 	select {
 	case ow.signal <- struct{}{}:
 	default:
--- a/job/job.go
+++ b/job/job.go
@@ -79,6 +79,26 @@
 	return Size{max(0, sz.CPUMillis), max(0, sz.MemoryMB), max(0, sz.Accelerators)}
 }
 
+// Most is the larger of two sizes in each figure.
+func (sz Size) Most(other Size) Size {
+	return Size{max(sz.CPUMillis, other.CPUMillis), max(sz.MemoryMB, other.MemoryMB), max(sz.Accelerators, other.Accelerators)}
+}
+
+// Least is the smaller of two sizes in each figure.
+func (sz Size) Least(other Size) Size {
+	return Size{min(sz.CPUMillis, other.CPUMillis), min(sz.MemoryMB, other.MemoryMB), min(sz.Accelerators, other.Accelerators)}
+}
+
+// Times is a multiple of the size.
+func (sz Size) Times(count int) Size {
+	return Size{sz.CPUMillis * count, sz.MemoryMB * count, sz.Accelerators * count}
+}
+
+// Over is a part of the size, rounded down.
+func (sz Size) Over(parts int) Size {
+	return Size{sz.CPUMillis / parts, sz.MemoryMB / parts, sz.Accelerators / parts}
+}
+
 // Step is a stage of a job: a number of equal tasks.
 type Step struct {
 	Count    int           `json:"count"`
