Ended jobs are archived on stores without transactions over several parts

Cause, by the log of grown Tempo Lane ("rows of several parts"): a round of archive removes the rows of up to 32 jobs, which lie in 64 parts, in one transaction; the settings of that store say that it takes none across parts, so the table of open jobs was never emptied and each takeover read all of it. Sweeping jobs past their retention failed likewise.

Change: Options.OnePart from the platform's settings; such a store gets a transaction for each of the four parts with the most rows a round.

--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -118,6 +118,8 @@
 	refuse, silent bool
 	// hang tells which tables' feeds never answer.
 	hang func(table string) bool
+	// onePart has transactions over several parts refused.
+	onePart bool
 	// lose tells which transactions are done and not answered.
 	lose func(Tx) bool
 	// feeds counts the calls for each table's changes, reads those for rows of each table.
@@ -163,6 +165,12 @@
 	if err := sw.fault(ctx); err != nil {
 		return 0, err
 	}
+	sw.mu.Lock()
+	refused := sw.onePart && tx.parts() > 1
+	sw.mu.Unlock()
+	if refused {
+		return 0, ErrRefused
+	}
 	version, err := sw.mm.commit(tx)
 	sw.mu.Lock()
 	lost := sw.lose != nil && sw.lose(tx)
@@ -173,6 +181,21 @@
 	return version, err
 }
 
+// parts counts the parts in which the rows of a transaction lie.
+func (tx Tx) parts() int {
+	parts := map[string]bool{}
+	for _, ex := range tx.Expect {
+		parts[ex.Place.Part] = true
+	}
+	for _, rw := range tx.Write {
+		parts[rw.Part] = true
+	}
+	for _, at := range tx.Remove {
+		parts[at.Part] = true
+	}
+	return len(parts)
+}
+
 func (sw *storeWay) Read(ctx context.Context, qu Query) (Page, error) {
 	sw.set(func(sw *storeWay) {
 		if sw.reads == nil {
@@ -432,7 +455,7 @@
 	if st.format != nil {
 		format = st.format
 	}
-	fl := New(Options{Name: name, Hall: hall, Address: ln.Addr().String(), Store: way, Workers: workers, Machines: noMachines{}, Format: format})
+	fl := New(Options{Name: name, Hall: hall, Address: ln.Addr().String(), Store: way, Workers: workers, Machines: noMachines{}, Format: format, OnePart: way.onePart})
 	srv := &http.Server{Handler: fl.Handler()}
 	go func() {
 		// It ends when the test closes it.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,9 +55,11 @@
 	Address     string
 	Incarnation string
 	// Power is the instance's share of a core.
-	Power    float64
-	Seeds    []string
-	Store    Store
+	Power float64
+	Seeds []string
+	Store Store
+	// OnePart means that the store takes no transaction over rows of several parts.
+	OnePart  bool
 	Workers  Workers
 	Adviser  Adviser
 	Machines Machines
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -28,6 +28,8 @@
 	archiveEvery = 3 * time.Second
 	// archiveMost is how many jobs are removed at once: three rows each stay below a transaction's 100 entries.
 	archiveMost = 32
+	// archiveParts is how many parts a round removes rows from where each takes a transaction of its own, since each has its price.
+	archiveParts = 4
 )
 
 // owner runs the core of one cell.
--- a/fleet/save.go
+++ b/fleet/save.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/aspenseam/aspenseam/cell"
@@ -73,15 +76,9 @@
 	if len(ids) == 0 {
 		return
 	}
-	var homes, ends Tx
-	for _, id := range ids {
-		homes.Remove = append(homes.Remove, Place{tableHome, partName(homePart(id)), string(id)})
-		ends.Remove = append(ends.Remove, Place{tableProgress, ow.name, string(id)})
-	}
-	if !ow.try(ctx, homes) || !ow.try(ctx, ends) {
-		// What is left is removed in a later round.
-		return
-	}
+	ids = ow.remove(ctx, ids, func(id job.ID) []Place { return []Place{{tableHome, partName(homePart(id)), string(id)}} })
+	ids = ow.remove(ctx, ids, func(id job.ID) []Place { return []Place{{tableProgress, ow.name, string(id)}} })
+	// What is left is removed in a later round.
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	ow.core.Forget(ids)
@@ -90,6 +87,39 @@
 	}
 }
 
+// remove removes the rows of jobs and returns those for which that was done. A store that takes no transaction over several parts gets one
+// for each of the parts with the most rows.
+func (ow *owner) remove(ctx context.Context, ids []job.ID, rows func(job.ID) []Place) []job.ID {
+	groups := [][]job.ID{ids}
+	if ow.fl.opts.OnePart {
+		groups = byPart(ids, rows)
+	}
+	var done []job.ID
+	for _, group := range groups {
+		var tx Tx
+		for _, id := range group {
+			tx.Remove = append(tx.Remove, rows(id)...)
+		}
+		if ow.try(ctx, tx) {
+			done = append(done, group...)
+		}
+	}
+	return done
+}
+
+// byPart groups jobs by the part of their rows, the largest groups alone.
+func byPart(ids []job.ID, rows func(job.ID) []Place) [][]job.ID {
+	found := map[string][]job.ID{}
+	for _, id := range ids {
+		part := rows(id)[0].Part
+		found[part] = append(found[part], id)
+	}
+	groups := slices.SortedFunc(maps.Values(found), func(one, other []job.ID) int {
+		return cmp.Or(cmp.Compare(len(other), len(one)), cmp.Compare(one[0], other[0]))
+	})
+	return groups[:min(len(groups), archiveParts)]
+}
+
 // expired lists jobs whose retention is over: those in memory, and those that ended under earlier owners.
 func (ow *owner) expired() []job.ID {
 	ow.mu.Lock()
@@ -124,15 +154,11 @@
 	if len(ids) == 0 {
 		return
 	}
-	var tx Tx
-	for _, id := range ids {
+	// Those that fail are removed in a later round; until then they only lengthen a takeover.
+	ids = ow.remove(ctx, ids, func(id job.ID) []Place {
 		part := partName(homePart(id))
-		tx.Remove = append(tx.Remove, Place{jobTable(ow.name), part, string(id)}, Place{jobTable(ow.name), part, string(id) + cancelSuffix}, Place{tablePayload, part, string(id)})
-	}
-	if !ow.try(ctx, tx) {
-		// They are removed in a later round; until then they only lengthen a takeover.
-		return
-	}
+		return []Place{{jobTable(ow.name), part, string(id)}, {jobTable(ow.name), part, string(id) + cancelSuffix}, {tablePayload, part, string(id)}}
+	})
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	ow.core.Archived(ids)
