Jobs beyond an organisation's share wait for those of the others

Change: a weight is a number of jobs a second; a job that comes when its organisation has used up its share, and what two seconds of it leave, starts after those of the others of its priority.

--- a/cell/burst_test.go
+++ b/cell/burst_test.go
@@ -27,9 +27,12 @@
 	// starts counts attempts, inTime and late the jobs by their objectives.
 	starts, inTime, late int
 	arrived              map[job.ID]time.Time
-	goal                 map[job.ID]time.Duration
-	specs                []*job.Spec
-	version              int64
+	// organisations are the jobs' own, punctual names those that were in time.
+	organisations map[job.ID]job.OrganisationID
+	punctual      map[job.ID]bool
+	goal          map[job.ID]time.Duration
+	specs         []*job.Spec
+	version       int64
 }
 
 // burstRun is an attempt on a worker.
@@ -56,6 +59,7 @@
 	bt := &burst{
 		now: time.Unix(1_700_000_000, 0), rnd: rand.New(rand.NewSource(seed)), runs: map[WorkerID]map[job.Task]burstRun{}, ends: map[WorkerID][]End{},
 		last: map[WorkerID]int64{}, holds: map[WorkerID]*Look{}, arrived: map[job.ID]time.Time{}, goal: map[job.ID]time.Duration{}, version: 1,
+		organisations: map[job.ID]job.OrganisationID{}, punctual: map[job.ID]bool{},
 	}
 	bt.core = New("pool", 1, Options{})
 	bt.core.Configure([]job.Queue{{ID: burstQueue, Pool: "pool", MaxAttempts: 4, Stretch: 1.6, Slack: 600 * time.Millisecond}})
@@ -74,12 +78,16 @@
 }
 
 // arrive hands in jobs, so many a second, for a time.
-func (bt *burst) arrive(perSecond float64, span time.Duration) {
+func (bt *burst) arrive(perSecond float64, span time.Duration) { bt.arriveFor("", perSecond, span) }
+
+// arriveFor hands in jobs of an organisation.
+func (bt *burst) arriveFor(og job.OrganisationID, perSecond float64, span time.Duration) {
 	count := int(perSecond * span.Seconds())
 	for at := range count {
 		bt.at(time.Duration(float64(at)/perSecond*float64(time.Second)), func() {
 			id := job.ID(fmt.Sprintf("%016x", len(bt.arrived)))
-			sp := &job.Spec{ID: id, Queue: burstQueue, Pool: "pool", Epoch: 1}
+			sp := &job.Spec{ID: id, Queue: burstQueue, Pool: "pool", Epoch: 1, Organisation: og}
+			bt.organisations[id] = og
 			for step := range 1 + bt.rnd.Intn(2) {
 				st := job.Step{Count: 1 + bt.rnd.Intn(2*burstWidth-1), Size: job.Size{CPUMillis: burstCPU/2 + bt.rnd.Intn(burstCPU), MemoryMB: burstMemory}}
 				if step > 0 {
@@ -182,6 +190,7 @@
 	}
 	if bt.now.Sub(since) <= bt.goal[rw.ID] {
 		bt.inTime++
+		bt.punctual[rw.ID] = true
 	} else {
 		bt.late++
 	}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -100,6 +100,10 @@
 	run        runtimes
 	// ledger holds what the cell may have running of organisations.
 	ledger *Ledger
+	// weights are the organisations' shares.
+	weights map[job.OrganisationID]float64
+	// allotments say how many more of their jobs are within them.
+	allotments map[job.OrganisationID]*allotment
 	// neededSum is what the open jobs wanted at neededAt.
 	neededSum float64
 	neededAt  time.Time
@@ -117,7 +121,7 @@
 	return &Core{
 		opts: options.WithDefaults(), pool: pool, epoch: epoch,
 		queues: map[job.QueueID]job.Queue{}, jobs: map[job.ID]*jobState{}, workers: map[WorkerID]*worker{},
-		unresolved: map[WorkerID]time.Time{}, dirty: map[job.ID]*jobState{}, cordons: map[WorkerID]bool{}, run: runtimes{}, ledger: NewLedger(string(pool), epoch),
+		unresolved: map[WorkerID]time.Time{}, dirty: map[job.ID]*jobState{}, cordons: map[WorkerID]bool{}, run: runtimes{}, ledger: NewLedger(string(pool), epoch), allotments: map[job.OrganisationID]*allotment{},
 	}
 }
 
--- a/cell/organisation.go
+++ b/cell/organisation.go
@@ -7,7 +7,13 @@
 )
 
 // Organise puts the organisations of a configuration in force.
-func (cr *Core) Organise(cf *job.Configuration) { cr.ledger.Configure(cf) }
+func (cr *Core) Organise(cf *job.Configuration) {
+	cr.ledger.Configure(cf)
+	cr.weights = map[job.OrganisationID]float64{}
+	for _, og := range cf.Organisations.List() {
+		cr.weights[og.ID] = og.Weight
+	}
+}
 
 // mayStart reports whether the organisation of a step's job may have so many more of its tasks running.
 func (cr *Core) mayStart(st *step, tasks int) bool {
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -28,7 +28,9 @@
 type ranked struct {
 	js       *jobState
 	priority int
-	urgency  urgency
+	// turn is 1 for a job beyond its organisation's share, which waits for the others.
+	turn    int
+	urgency urgency
 	// key orders jobs of one urgency, the lower first.
 	key float64
 }
@@ -48,7 +50,7 @@
 		}
 	}
 	slices.SortStableFunc(list, func(one, other ranked) int {
-		return cmp.Or(cmp.Compare(one.priority, other.priority), cmp.Compare(one.urgency, other.urgency), cmp.Compare(one.key, other.key))
+		return cmp.Or(cmp.Compare(one.priority, other.priority), cmp.Compare(one.turn, other.turn), cmp.Compare(one.urgency, other.urgency), cmp.Compare(one.key, other.key))
 	})
 	jobs := make([]*jobState, len(list))
 	for at, rk := range list {
@@ -80,6 +82,9 @@
 
 func (cr *Core) rank(now time.Time, js *jobState) ranked {
 	rk := ranked{js: js, priority: cr.queues[js.spec.Queue].Priority}
+	if js.beyond {
+		rk.turn = 1
+	}
 	left := cr.laxity(now, js)
 	end := js.from().Add(lateFactor * cr.objective(js)).Sub(now)
 	worthy := cr.worth(now, js)
--- a/cell/task.go
+++ b/cell/task.go
@@ -34,6 +34,8 @@
 	begun    bool
 	// carried means that an earlier owner may have started tasks of it.
 	carried bool
+	// beyond means that its organisation had handed in more than its share when it came.
+	beyond  bool
 	endedAt time.Time
 	// settled means that no task of it waits to be started, until something of it ends.
 	settled bool
@@ -147,6 +149,7 @@
 		js.endedAt = sd.Progress.EndedAt
 		return
 	}
+	js.beyond = cr.beyondShare(now, js)
 	cr.open = append(cr.open, js)
 	cr.claimRuns(now, sd.Spec.ID)
 	if sd.Spec.Epoch > cr.epoch {
