--- a/cell/ledger.go
+++ b/cell/ledger.go
@@ -226,6 +226,9 @@
 	return lg.running[id].Plus(lg.entry(id).inherited)
 }
 
+// Held is what all cells together hold.
+func (ac Account) Held() job.Size { return ac.others("") }
+
 // others is what the other cells hold.
 func (ac Account) others(cell string) job.Size {
 	var sum job.Size
--- a/cell/organisation.go
+++ b/cell/organisation.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/aspenseam/aspenseam/job"
@@ -106,3 +108,49 @@
 	dm.Waiting = dm.Waiting.Plus(all)
 	return dm
 }
+
+// OrganisationLoad is what a cell has of an organisation.
+type OrganisationLoad struct {
+	Pool         job.PoolID         `json:"pool"`
+	Organisation job.OrganisationID `json:"organisation"`
+	// Running is what runs, or may run, Limit what may.
+	Running job.Size `json:"running"`
+	Limit   job.Size `json:"limit"`
+	// Waiting counts the jobs with tasks that wait, Oldest is since when the first of them has been there.
+	Waiting int           `json:"waiting"`
+	Oldest  time.Duration `json:"oldest"`
+	// AtLimit means that tasks wait since the organisation has its part of the maximum.
+	AtLimit bool `json:"atLimit,omitempty"`
+}
+
+// OrganisationLoads lists what the cell has of each organisation, by name.
+func (cr *Core) OrganisationLoads(now time.Time) []OrganisationLoad {
+	found := map[job.OrganisationID]*OrganisationLoad{}
+	load := func(id job.OrganisationID) *OrganisationLoad {
+		if found[id] == nil {
+			found[id] = &OrganisationLoad{Pool: cr.pool, Organisation: id, Running: cr.ledger.running[id]}
+			if most, bounded := cr.ledger.maxima[id]; bounded {
+				found[id].Limit, _ = cr.ledger.limit(id, most)
+			}
+		}
+		return found[id]
+	}
+	for id := range cr.ledger.running {
+		load(id)
+	}
+	for id, dm := range cr.waitingByOrganisation() {
+		load(id).AtLimit = dm.Unit != job.Size{} && !cr.ledger.MayOne(id, dm.Unit)
+	}
+	for _, js := range cr.waiting(now) {
+		if id := js.spec.Organisation; id != "" {
+			ol := load(id)
+			ol.Waiting++
+			ol.Oldest = max(ol.Oldest, now.Sub(js.seen))
+		}
+	}
+	list := make([]OrganisationLoad, 0, len(found))
+	for _, id := range slices.Sorted(maps.Keys(found)) {
+		list = append(list, *found[id])
+	}
+	return list
+}
--- a/fleet/accounts_test.go
+++ b/fleet/accounts_test.go
@@ -108,3 +108,34 @@
 		}
 	}
 }
+
+// TestOrganisationsReport: an operator sees what an organisation may have, has, and waits for, also when it waits at its maximum.
+func TestOrganisationsReport(t *testing.T) {
+	st := newSite(t, 2*time.Second)
+	st.format = boundFormat{}
+	one := st.start("one")
+	st.owner(one)
+	for _, id := range []job.ID{"o1", "o2", "o3"} {
+		sp := spec(id)
+		sp.Organisation = "mill"
+		st.eventually("acceptance", func() bool {
+			vd, _ := one.Submit(t.Context(), sp)
+			return vd == Accepted
+		})
+	}
+	var og OrganisationStatus
+	st.eventually("a job that waits at the maximum", func() bool {
+		rp, err := ReadOrganisations(t.Context(), one.way, boundFormat{})
+		if err != nil || len(rp.Organisations) != 1 || len(rp.Silent) > 0 {
+			return false
+		}
+		og = rp.Organisations[0]
+		return og.Waiting > 0 && len(og.AtLimit) > 0 && og.Running.CPUMillis > 0
+	})
+	if og.ID != "mill" || og.Maximum.CPUMillis != 3000 || og.Running.CPUMillis > 3000 || og.Held.CPUMillis > 3000 || og.AtLimit[0] != "pool" || og.Oldest <= 0 {
+		t.Errorf("%+v", og)
+	}
+	if len(og.Keys) != 1 || og.Keys[0] != job.NewKey("k").Fingerprint() {
+		t.Errorf("keys: %v", og.Keys)
+	}
+}
