Test of the full window: the least of three measurements counts

TestFullWindowCostsNoRounds failed twice in some ten runs of the package beside plays (112 bytes with 4000 jobs, 0 with 100; bound 0): the runtime's own allocations count in MemStats, and the code under test allocates nothing.

--- a/cell/window_test.go
+++ b/cell/window_test.go
@@ -106,7 +106,8 @@
 }
 
 // TestFullWindowCostsNoRounds: while no start is allowed, an event costs the same however many jobs wait; bytes allocated stand for what is
-// gone through, since sorting the jobs that wait copies them.
+// gone through, since sorting the jobs that wait copies them. Of several measurements the least counts: the runtime allocates some now and then
+// by itself, what is gone through costs each time.
 func TestFullWindowCostsNoRounds(t *testing.T) {
 	cost := func(jobs int) uint64 {
 		bd := newBed(t, 4)
@@ -123,6 +124,9 @@
 		return after.TotalAlloc - before.TotalAlloc
 	}
 	few, many := cost(100), cost(4000)
+	for range 2 {
+		few, many = min(few, cost(100)), min(many, cost(4000))
+	}
 	if many > 2*few {
 		t.Errorf("50 events take %d bytes with 100 jobs and %d with 4000", few, many)
 	}
