--- a/fleet/members.go
+++ b/fleet/members.go
@@ -72,12 +72,14 @@
 
 // members is what the control table says of entry instances and cells.
 type members struct {
-	now    func() time.Time
-	log    *event.Logger
-	mu     sync.RWMutex // guards what follows
-	nodes  map[string]node
-	seen   map[string]time.Time
-	owners map[string]ownerRow
+	now   func() time.Time
+	log   *event.Logger
+	mu    sync.RWMutex // guards what follows
+	nodes map[string]node
+	// versions are those of the rows of instances.
+	versions map[string]int64
+	seen     map[string]time.Time
+	owners   map[string]ownerRow
 	// ownedAt is when a cell's row was last seen to change.
 	ownedAt map[string]time.Time
 	drains  map[cell.MachineID]drainRow
@@ -86,7 +88,7 @@
 }
 
 func newMembers(now func() time.Time, log *event.Logger) *members {
-	return &members{now: now, log: log, nodes: map[string]node{}, seen: map[string]time.Time{}, owners: map[string]ownerRow{}, ownedAt: map[string]time.Time{}, drains: map[cell.MachineID]drainRow{}, vacant: map[string]time.Time{}}
+	return &members{now: now, log: log, nodes: map[string]node{}, versions: map[string]int64{}, seen: map[string]time.Time{}, owners: map[string]ownerRow{}, ownedAt: map[string]time.Time{}, drains: map[cell.MachineID]drainRow{}, vacant: map[string]time.Time{}}
 }
 
 // controlChanged takes changes of the control table. An answer of the store's, with rows or without, confirms what is owned.
@@ -115,10 +117,15 @@
 	}
 }
 
+// takeNode takes the row of an entry instance. One of another version may have left an older row in another part.
 func (mb *members) takeNode(rw Row) {
 	name := strings.TrimPrefix(rw.Key, nodePrefix)
 	mb.mu.Lock()
 	defer mb.mu.Unlock()
+	if rw.Version < mb.versions[name] {
+		return
+	}
+	mb.versions[name] = rw.Version
 	var nd node
 	err := json.Unmarshal(rw.Value, &nd)
 	if !rw.Deleted && err != nil {
--- a/fleet/start_test.go
+++ b/fleet/start_test.go
@@ -61,3 +61,17 @@
 		}
 	}
 }
+
+// TestNewerRowOfAnInstanceCounts: one that ran another version before has a row in another part as well, which may be read after.
+func TestNewerRowOfAnInstanceCounts(t *testing.T) {
+	mb := newMembers(time.Now, nil)
+	for _, rw := range []Row{
+		{Part: "nodes/1", Key: "node/a", Value: []byte(`{"name":"a","incarnation":"new"}`), Version: 9},
+		{Part: "node/a", Key: "node/a", Value: []byte(`{"name":"a","incarnation":"old"}`), Version: 3},
+	} {
+		mb.takeNode(rw)
+	}
+	if nd, _ := mb.node("a"); nd.Incarnation != "new" {
+		t.Errorf("incarnation %q", nd.Incarnation)
+	}
+}
