--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -34,6 +34,7 @@
 // fragile is a worker that some tasks crash.
 type fragile struct {
 	id   WorkerID
+	info Worker
 	runs map[job.Task]*fragileRun
 	// look is the one that waits for an answer, due is when it is given in any case.
 	look *Look
@@ -54,8 +55,13 @@
 	lives  int
 	lost   int
 	asked  time.Time
-	// dark means that a worker that ended leaves calls without an answer instead of breaking connections.
-	dark   bool
+	// dark means that a worker that ended leaves calls without an answer instead of breaking connections, untold that nobody tells that it
+	// has ended, stranger that each worker lists a run
+	// that the owner does not know beside those it was given.
+	dark, untold, stranger bool
+	// specs and rows are what the store has of jobs.
+	specs  map[job.ID]*job.Spec
+	rows   map[job.ID]*job.Progress
 	starts map[job.Task]int
 	// again counts the starts of innocent tasks after their first.
 	again int
@@ -68,7 +74,7 @@
 
 func newCrashes(t *testing.T, workers int, guilty func(job.Task) (time.Duration, bool)) *crashes {
 	t.Helper()
-	cs := &crashes{bed: newBed(t, 0), workers: map[WorkerID]*fragile{}, guilty: guilty, starts: map[job.Task]int{}}
+	cs := &crashes{bed: newBed(t, 0), workers: map[WorkerID]*fragile{}, guilty: guilty, starts: map[job.Task]int{}, specs: map[job.ID]*job.Spec{}, rows: map[job.ID]*job.Progress{}}
 	cs.saved = true
 	for range workers {
 		cs.born()
@@ -81,8 +87,9 @@
 func (cs *crashes) born() {
 	cs.lives++
 	id := WorkerID(fmt.Sprintf("w%04d", cs.lives))
-	cs.workers[id] = &fragile{id: id, runs: map[job.Task]*fragileRun{}}
-	cs.core.Register(cs.now, Worker{ID: id, Pool: bedPool, Address: string(id), Rack: fmt.Sprintf("r%d", cs.lives%12), Room: job.Size{CPUMillis: 1000 * crashSlots, MemoryMB: 32000}})
+	info := Worker{ID: id, Pool: bedPool, Address: string(id), Rack: fmt.Sprintf("r%d", cs.lives%12), Room: job.Size{CPUMillis: 1000 * crashSlots, MemoryMB: 32000}}
+	cs.workers[id] = &fragile{id: id, info: info, runs: map[job.Task]*fragileRun{}}
+	cs.core.Register(cs.now, info)
 	cs.core.Enlisted([]Ref{{ID: id, Address: string(id)}})
 }
 
@@ -107,7 +114,7 @@
 // ask tells which of the workers that are missed have ended, as often as an owner may ask.
 func (cs *crashes) ask() {
 	missing, pressing := cs.core.Missing(cs.now)
-	if len(missing) == 0 || !pressing && !cs.dark || cs.now.Sub(cs.asked) < crashAsk {
+	if len(missing) == 0 || cs.untold || !pressing && !cs.dark || cs.now.Sub(cs.asked) < crashAsk {
 		return
 	}
 	cs.asked = cs.now
@@ -150,7 +157,11 @@
 		lk := *fr.look
 		fr.look = nil
 		fr.ends = slices.DeleteFunc(fr.ends, func(en End) bool { return en.Number <= lk.Observed })
-		cs.looked(lk, fr.running(cs.now), fr.ends)
+		running := fr.running(cs.now)
+		if cs.stranger && len(running) > 0 {
+			running = append(running, Running{Task: job.Task{Job: "stranger"}, Attempt: 1})
+		}
+		cs.looked(lk, running, fr.ends)
 	}
 }
 
@@ -193,18 +204,23 @@
 // unanswered ends a look at a worker that has ended.
 func (cs *crashes) unanswered(lk Look) {
 	sent := cs.now
+	core := cs.core
 	if !cs.dark {
-		cs.core.Looked(cs.now, Looked{Look: lk, Outcome: Silent, Sent: sent, Received: sent})
+		core.Looked(cs.now, Looked{Look: lk, Outcome: Silent, Sent: sent, Received: sent})
 		return
 	}
 	cs.after(lk.Wait+crashPatience, func() {
-		cs.core.Looked(cs.now, Looked{Look: lk, Outcome: Silent, Sent: sent, Received: cs.now})
+		core.Looked(cs.now, Looked{Look: lk, Outcome: Silent, Sent: sent, Received: cs.now})
 	})
 }
 
 // carry carries an order out.
 func (cs *crashes) carry(od Order) {
 	switch order := od.(type) {
+	case Save:
+		for _, row := range order.Rows {
+			cs.rows[row.ID] = copyProgress(cs.t, row.Progress)
+		}
 	case Look:
 		fr := cs.workers[order.Worker]
 		if fr == nil {
@@ -215,7 +231,10 @@
 	case Start:
 		fr := cs.workers[order.Worker]
 		if fr == nil && cs.dark {
-			cs.after(crashPatience, func() { cs.ordered(order, Silent) })
+			core := cs.core
+			cs.after(crashPatience, func() {
+				core.Ordered(cs.now, Ordered{Order: order, Outcome: Silent, Sent: cs.now, Received: cs.now})
+			})
 			return
 		}
 		if fr == nil {
@@ -243,12 +262,32 @@
 			cs.again++
 		}
 	}
-	if st := cs.core.find(order.Task); st != nil && st.spec.LongRunning {
+	if st := cs.core.find(order.Task); st != nil && st.spec.LongRunning && !guilty {
 		after = time.Hour
 	}
 	fr.runs[order.Task] = &fragileRun{start: order, since: cs.now, ends: cs.now.Add(after), how: EndDone, crashes: guilty}
 }
 
+// add hands a job in.
+func (cs *crashes) add(id job.ID, epoch job.Epoch, steps ...job.Step) {
+	cs.specs[id] = &job.Spec{ID: id, Queue: "q", Pool: bedPool, Steps: steps, Epoch: epoch, AcceptedAt: cs.now}
+	cs.core.Add(cs.now, Stored{Spec: cs.specs[id]})
+}
+
+// copyProgress is what a next owner reads of a progress row.
+func copyProgress(t *testing.T, pg *job.Progress) *job.Progress {
+	t.Helper()
+	raw, err := job.EncodeProgress(pg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := job.DecodeProgress(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return read
+}
+
 // guiltyJobs makes the first tasks of the jobs named crash their workers.
 func guiltyJobs(after time.Duration, ids ...job.ID) func(job.Task) (time.Duration, bool) {
 	return func(tk job.Task) (time.Duration, bool) {
