--- a/cell/crash.go
+++ b/cell/crash.go
@@ -68,8 +68,8 @@
 	SinceStart time.Duration
 	// Before is the highest number of workers that one of the tasks had lost before.
 	Before int
-	// Charged means that it counts against the tasks: the worker was neither leaving nor wanted.
-	Charged bool
+	// Excuse says why it does not count against the tasks; empty if it does.
+	Excuse string
 }
 
 // chargeLoss charges the tasks on a worker whose life has ended with its loss, unless it was about to leave.
@@ -80,9 +80,16 @@
 	}
 	victims := wk.victims()
 	// One whose registration went before it fell silent was leaving without saying so.
-	left := wk.info.Draining || wk.known && !wk.listed && wk.unlistedAt.Before(silent)
-	charged := !left && !cr.cordoned(now, wk.info.ID)
-	loss := Loss{Tasks: len(victims), Charged: charged}
+	lapsed := wk.known && !wk.listed && wk.unlistedAt.Before(silent)
+	loss := Loss{Tasks: len(victims)}
+	switch {
+	case wk.info.Draining:
+		loss.Excuse = "it was leaving"
+	case lapsed:
+		loss.Excuse = "its registration went before"
+	case cr.cordoned(now, wk.info.ID):
+		loss.Excuse = "its machine was wanted"
+	}
 	var newest time.Time
 	for _, pl := range victims {
 		newest = latest(newest, pl.ordered)
@@ -92,7 +99,7 @@
 	if len(victims) > 0 {
 		cr.opts.Log(Decision{What: "worker lost with tasks", Worker: wk.info.ID, Why: why, Age: now.Sub(wk.lookedAt), Loss: &loss})
 	}
-	if !charged {
+	if loss.Excuse != "" {
 		wk.unhold(now)
 		return
 	}
--- a/cell/options.go
+++ b/cell/options.go
@@ -46,6 +46,8 @@
 	// Loss is set where a worker ended with tasks on it, Lost where a job is given up since workers end under it.
 	Loss *Loss
 	Lost []WorkerID
+	// Losses is how many workers had ended under the task when it was started.
+	Losses int
 }
 
 // Defaults of the options.
--- a/fleet/figures.go
+++ b/fleet/figures.go
@@ -89,10 +89,13 @@
 	if dc.Why != "" {
 		fields = append(fields, zap.String("why", dc.Why))
 	}
+	if dc.Losses != 0 {
+		fields = append(fields, zap.Int("losses", dc.Losses))
+	}
 	if dc.Loss != nil {
 		fl.fig.workersLost.Inc(1)
 		fl.fig.tasksLost.Inc(int64(dc.Loss.Tasks))
-		fl.opts.Log.Emit(event.WorkerLost, append(fields, zap.Int("tasks", dc.Loss.Tasks), zap.Duration("sinceStart", dc.Loss.SinceStart), zap.Int("before", dc.Loss.Before), zap.Bool("charged", dc.Loss.Charged))...)
+		fl.opts.Log.Emit(event.WorkerLost, append(fields, zap.Int("tasks", dc.Loss.Tasks), zap.Duration("sinceStart", dc.Loss.SinceStart), zap.Int("before", dc.Loss.Before), zap.String("excuse", dc.Loss.Excuse))...)
 		return
 	}
 	if len(dc.Lost) > 0 {
