A fourth loss of any kind ends a job, whatever else was on the worker

Callers saw a job that crashes workers go on for ever where every worker also listed a run that its owner did not know: 29 starts of one task in 30 s. Cause: giving up wanted a last loss with nothing else there, so the bound of the retry hung on a circumstance that never came.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -25,8 +25,9 @@
 	leftAfter = 2
 	// brokenKept is how many broken connections are remembered for that.
 	brokenKept = 256
-	// weakProof is how many losses it takes where none tells of a cause.
-	weakProof = 4
+	// lossesMost is after how many losses of any kind a job is given up, so that its starts end where no circumstance ever proves its task to be
+	// the cause.
+	lossesMost = 4
 )
 
 // losses are the workers that ended while a task was on them.
@@ -46,6 +47,9 @@
 // number is how many there are; of the weak ones two or three count as one or two.
 func (lo losses) number() int { return len(lo.workers) + lo.weak*2/3 }
 
+// total is how many there are, whatever they tell.
+func (lo losses) total() int { return len(lo.workers) + lo.weak }
+
 // evidence is what the end of a worker says of an attempt on it.
 type evidence struct {
 	// strong means that the worker ended while the attempt ran there, and no others with it; alone that nothing else there can be the cause.
@@ -195,15 +199,12 @@
 }
 
 // proof reports whether the newest loss shows that the task is the cause: after an earlier loss a worker ended right after it was started
-// there by itself, or it is the third that ended while nothing else was there, or one more where none of them tells much.
+// there by itself, or it is the third that ended while nothing else was there, or as many ended as no task may cost.
 func (lo *losses) proof(ev evidence) bool {
-	switch {
-	case !ev.alone:
-		return false
-	case ev.strong && (ev.prompt && len(lo.workers) >= lossesAlone || len(lo.workers) > lossesAlone):
+	if lo.total() >= lossesMost {
 		return true
 	}
-	return len(lo.workers)+lo.weak >= weakProof
+	return ev.alone && ev.strong && (ev.prompt && len(lo.workers) >= lossesAlone || len(lo.workers) > lossesAlone)
 }
 
 // giveUp ends a job whose task crashes its workers.
--- a/cell/place.go
+++ b/cell/place.go
@@ -399,7 +399,7 @@
 		// A next owner is to know where it was tried.
 		cr.change(st.job)
 	}
-	cr.opts.Log(Decision{What: "start", Task: tk, Attempt: attempt, Worker: wk.info.ID, Token: pl.token, Why: why, Age: now.Sub(wk.lookedAt), Losses: len(ts.lost.workers) + ts.lost.weak})
+	cr.opts.Log(Decision{What: "start", Task: tk, Attempt: attempt, Worker: wk.info.ID, Token: pl.token, Why: why, Age: now.Sub(wk.lookedAt), Losses: ts.lost.total()})
 	cr.order(Start{
 		Worker: wk.info.ID, Address: wk.info.Address, Token: pl.token, Task: tk, Attempt: attempt,
 		Payload: st.job.spec.Payload, PayloadAt: st.job.spec.Acceptor, Until: until, Checkpoint: ts.checkpoint, Ticket: st.tickets[wk.info.ID],
