The end of a worker whose registration had lapsed, or whose machine is wanted, counts as a weak loss

Callers saw a task that crashes workers started 14 times in 30 s while registrations lapsed and came back though the workers served on. Cause: a worker whose registration had gone before it fell silent counted as leaving, and its end was laid to nobody; so did that of one whose machine is wanted. Neither ends a worker by itself. Only one that had said that it leaves is an excuse now: nothing is started there any more, so that each excuse needs a start that came before it.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -32,8 +32,8 @@
 
 // losses are the workers that ended while a task was on them.
 type losses struct {
-	// workers names those that broke off while it ran. weak counts the others: they had not answered its start, only fell silent, or ended
-	// together with others, so that they tell little of a cause.
+	// workers names those that broke off while it ran. weak counts the others: they had not answered its start, only fell silent, ended
+	// together with others, or were about to go, so that they tell little of a cause.
 	workers []WorkerID
 	weak    int
 	// suspect means that the task may have caused one of them, late that one came a while after its start.
@@ -76,24 +76,19 @@
 	Excuse string
 }
 
-// chargeLoss charges the tasks on a worker whose life has ended with its loss, unless it was about to leave.
+// chargeLoss charges the tasks on a worker whose life has ended with its loss, unless it had said that it would leave.
 func (cr *Core) chargeLoss(now time.Time, wk *worker, why string) {
 	silent := now
 	if wk.fails > 0 {
 		silent = wk.silentAt
 	}
 	victims := wk.victims()
-	// One whose registration went before it fell silent was leaving without saying so.
-	lapsed := wk.known && !wk.listed && wk.unlistedAt.Before(silent)
 	loss := Loss{Tasks: len(victims)}
-	switch {
-	case wk.info.Draining:
+	if wk.info.Draining {
 		loss.Excuse = "it was leaving"
-	case lapsed:
-		loss.Excuse = "its registration went before"
-	case cr.cordoned(now, wk.info.ID):
-		loss.Excuse = "its machine was wanted"
 	}
+	// That its registration had gone or its machine is wanted may be why it ended, but neither ends a worker by itself.
+	doubtful := wk.known && !wk.listed && wk.unlistedAt.Before(silent) || cr.cordoned(now, wk.info.ID)
 	var newest time.Time
 	for _, pl := range victims {
 		newest = latest(newest, pl.ordered)
@@ -112,7 +107,7 @@
 		fresh := silent.Sub(pl.ordered) <= suspectWindow
 		// A worker that never answered the start may have ended before it, one that only fell silent after the attempt was over.
 		// What ran for a while beside a task that had just been started is the less likely cause.
-		strong := !pl.acked.IsZero() && wk.abrupt && !together && (fresh || silent.Sub(newest) > suspectWindow)
+		strong := !pl.acked.IsZero() && wk.abrupt && !together && !doubtful && (fresh || silent.Sub(newest) > suspectWindow)
 		cr.charge(now, pl, evidence{strong: strong, alone: cr.alone(wk, victims, pl, silent), fresh: fresh, prompt: fresh && pl.onTrial()})
 	}
 	cr.chargeLeft(now, wk.info.ID)
