Starts of tasks that may have lost a worker are kept before they are ordered

Callers saw tasks that crash workers go on for ever where their cell changed hands: 30 starts of one task in 30 s with an owner each second, 40 with one each 1.5 s, jobs never failed. Cause: of an attempt on a silent worker nothing was kept. The next owner, told that the worker was gone, found no attempt there and counted nothing; each owner started the task as if for the first time. A start is kept with its worker before it is ordered (an intent) if its task has lost a worker, or if an earlier owner may have lost one with it unseen: an owner that resolves a worker of earlier owners without having looked at it says so in the cell's row, by epoch, and the jobs from before that are started so. The next owner charges what is left open on a worker that has ended, and clears what is open on one that answers. A worker whose end is not kept yet stays in the row. A suspect gets a worker to itself only once that has answered since, so that an innocent one is not charged with a worker that was dead before. An owner out of touch with the store goes on with tasks that have lost one worker at most.

--- a/cell/bed_test.go
+++ b/cell/bed_test.go
@@ -124,6 +124,16 @@
 	return got
 }
 
+// wantKept wants starts that come only once their intents are kept.
+func (bd *bed) wantKept(want int) []Start {
+	bd.t.Helper()
+	orders := bd.plan()
+	bd.wantStarts(orders, 0)
+	bd.wantStarts(bd.plan(), 0)
+	bd.keep(orders)
+	return bd.wantStarts(bd.plan(), want)
+}
+
 func (bd *bed) ordered(od Order, oc Outcome) {
 	bd.core.Ordered(bd.now, Ordered{Order: od, Outcome: oc, Sent: bd.now, Received: bd.now, Clock: bd.clock()})
 }
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -2,6 +2,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/aspenseam/aspenseam/job"
@@ -91,6 +92,12 @@
 	urgentSave         bool
 	window             window
 	hearing            hearing
+	// graves are workers whose end is still to be kept.
+	graves []grave
+	// intents are the starts that wait to be kept.
+	intents []*intent
+	// exposed is the owner before which tasks may have been lost with workers that no owner saw again.
+	exposed job.Epoch
 	// broken are the newest breaks of workers' connections.
 	broken []breakOff
 	// yieldTo is how many machines the pool is to have while others lack some, until yieldUntil.
@@ -231,6 +238,10 @@
 	for _, wk := range cr.list {
 		refs = append(refs, Ref{ID: wk.info.ID, Address: wk.info.Address})
 	}
+	cr.graves = slices.DeleteFunc(cr.graves, func(gv grave) bool { return !gv.unkept() })
+	for _, gv := range cr.graves {
+		refs = append(refs, gv.ref)
+	}
 	return refs
 }
 
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -38,10 +39,8 @@
 	weak    int
 	// suspect means that the task may have caused one of them, late that one came a while after its start.
 	suspect, late bool
-	// gen is the state of the job from which on they are kept.
-	gen int
-	// leftOn is the worker on which an earlier owner had it in trial, or when that fell silent, as far as this owner has not met it.
-	leftOn WorkerID
+	// open are the workers of which it is not known what became of an attempt there: it lapsed, or an earlier owner left it.
+	open []WorkerID
 }
 
 // number is how many there are; of the weak ones two or three count as one or two.
@@ -95,11 +94,12 @@
 		loss.Before = max(loss.Before, len(pl.step.tasks[pl.task.Index].lost.workers))
 	}
 	loss.SinceStart = silent.Sub(newest)
+	defer cr.remember(wk, victims)
 	if len(victims) > 0 {
 		cr.opts.Log(Decision{What: "worker lost with tasks", Worker: wk.info.ID, Why: why, Age: now.Sub(wk.lookedAt), Loss: &loss})
 	}
 	if loss.Excuse != "" {
-		wk.unhold(now)
+		cr.unhold(now, wk)
 		return
 	}
 	together := cr.withOthers(wk, silent)
@@ -111,7 +111,33 @@
 		cr.charge(now, pl, evidence{strong: strong, alone: cr.alone(wk, victims, pl, silent), fresh: fresh, prompt: fresh && pl.onTrial()})
 	}
 	cr.chargeLeft(now, wk.info.ID)
-	wk.unhold(now)
+	cr.unhold(now, wk)
+}
+
+// grave is a worker whose end is still to be kept of some jobs. Until then a next owner is to look for it.
+type grave struct {
+	ref Ref
+	// jobs are those jobs, with the state from which on it is kept.
+	jobs map[*jobState]int
+}
+
+// remember has the cell's row name a worker that has ended until what it cost is kept.
+func (cr *Core) remember(wk *worker, victims []*placement) {
+	gv := grave{ref: Ref{ID: wk.info.ID, Address: wk.info.Address}, jobs: map[*jobState]int{}}
+	for _, pl := range victims {
+		gv.jobs[pl.step.job] = pl.step.job.gen
+	}
+	cr.graves = append(cr.graves, gv)
+}
+
+// unkept reports whether its end is still to be kept of a job.
+func (gv grave) unkept() bool {
+	for js, gen := range gv.jobs {
+		if js.savedGen < gen {
+			return true
+		}
+	}
+	return false
 }
 
 // victims are the attempts that a worker's end may have ended: those on it, and those that were given up while it was silent.
@@ -165,16 +191,19 @@
 // charge notes that a worker ended under an attempt, and gives its job up if that proves its task to be the cause.
 func (cr *Core) charge(now time.Time, pl *placement, ev evidence) {
 	ts, js := &pl.step.tasks[pl.task.Index], pl.step.job
+	ts.lost.close(pl.worker.info.ID)
 	if ts.done || js.ended() || pl.settledIn(now) || slices.Contains(ts.lost.workers, pl.worker.info.ID) {
 		return
 	}
 	ts.lost.add(pl.worker.info.ID, ev)
 	cr.change(js)
-	cr.urgentSave, ts.lost.gen = true, js.gen
+	cr.urgentSave = true
 	if pl.step.spec.Gang {
 		// Which of its members ended the worker is not known, and they start together only.
 		for at := range pl.step.tasks {
+			open := pl.step.tasks[at].lost.open
 			pl.step.tasks[at].lost = ts.lost
+			pl.step.tasks[at].lost.open = open
 		}
 	}
 	if ts.lost.proof(ev) {
@@ -213,15 +242,59 @@
 // chargeLeft charges tasks that an earlier owner had left on a worker whose life has ended.
 func (cr *Core) chargeLeft(now time.Time, id WorkerID) {
 	for _, js := range cr.open {
+		for st, at := range js.openOn(id) {
+			// It may have ended well before its worker did.
+			cr.chargeOn(now, st, at, id, evidence{})
+		}
+	}
+}
+
+// chargeOn charges a task that is not placed here with the end of a worker.
+func (cr *Core) chargeOn(now time.Time, st *step, at int, id WorkerID, ev evidence) {
+	tk := job.Task{Job: st.job.spec.ID, Run: st.run, Step: st.at, Index: at}
+	cr.charge(now, &placement{task: tk, step: st, worker: &worker{info: Worker{ID: id}}, attempt: st.tasks[at].attempt}, ev)
+}
+
+// openOn goes through the tasks of a job of which it is not known what became of an attempt on a worker.
+func (js *jobState) openOn(id WorkerID) iter.Seq2[*step, int] {
+	return func(yield func(*step, int) bool) {
 		if !js.abandoned {
-			continue
+			return
 		}
 		for _, rn := range js.runs {
 			for _, st := range rn.steps {
 				for at := range st.tasks {
-					if ts := &st.tasks[at]; ts.lost.leftOn == id && ts.place == nil {
-						tk := job.Task{Job: js.spec.ID, Run: st.run, Step: st.at, Index: at}
-						cr.charge(now, &placement{task: tk, step: st, worker: &worker{info: Worker{ID: id}}, attempt: ts.attempt}, evidence{strong: true})
+					if slices.Contains(st.tasks[at].lost.open, id) && !yield(st, at) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
+// clearLeft takes the worker's life as proof that no attempt which an earlier owner left there has ended it.
+func (cr *Core) clearLeft(id WorkerID) {
+	for _, js := range cr.open {
+		for st, at := range js.openOn(id) {
+			st.tasks[at].lost.close(id)
+			js.settled = false
+		}
+	}
+}
+
+// judgeLeft judges the attempts that an earlier owner left of a job that was read just now, by what is known of their workers already.
+func (cr *Core) judgeLeft(now time.Time, js *jobState) {
+	for _, rn := range js.runs {
+		for _, st := range rn.steps {
+			for at := range st.tasks {
+				for _, id := range slices.Clone(st.tasks[at].lost.open) {
+					switch wk := cr.workers[id]; {
+					case wk == nil:
+						// No owner names it any more, so that it has ended.
+						cr.chargeOn(now, st, at, id, evidence{})
+					case wk.fenced && wk.fails == 0:
+						st.tasks[at].lost.close(id)
 					}
 				}
 			}
@@ -229,6 +302,18 @@
 	}
 }
 
+// close notes that it is known what became of the attempt on a worker.
+func (lo *losses) close(id WorkerID) {
+	lo.open = slices.DeleteFunc(slices.Clone(lo.open), func(other WorkerID) bool { return other == id })
+}
+
+// leave notes that it is not known what became of the attempt on a worker.
+func (lo *losses) leave(id WorkerID) {
+	if !slices.Contains(lo.open, id) {
+		lo.open = append(slices.Clone(lo.open), id)
+	}
+}
+
 // noteLeft has a next owner know what was on a worker whose connections broke twice: it may have ended, and nobody else can tell what it ran.
 // After a mere reset the second call is answered.
 func (cr *Core) noteLeft(wk *worker) {
@@ -241,29 +326,39 @@
 	cr.urgentSave = true
 }
 
-// leftOn is the worker on which a next owner may find a task gone; empty if it is safe there.
-func (ts *taskState) leftOn() WorkerID {
-	if pl := ts.place; pl != nil {
-		if pl.trial || pl.worker.fails >= leftAfter && pl.worker.abrupt {
-			return pl.worker.info.ID
-		}
-		return ""
+// left are the workers on which a next owner may find the task gone.
+func (ts *taskState) left() losses {
+	lo := ts.lost
+	if in := ts.intent; in != nil {
+		lo.leave(in.worker)
 	}
-	return ts.lost.leftOn
+	if pl := ts.place; pl != nil && (pl.noted || pl.trial || pl.worker.fails >= leftAfter && pl.worker.abrupt) {
+		lo.leave(pl.worker.info.ID)
+	}
+	return lo
 }
 
 // kept is what is to be known of losses to a next owner.
-func (lo losses) kept(leftOn WorkerID) job.Losses {
-	kept := job.Losses{Weak: lo.weak, Suspect: lo.suspect, Late: lo.late, LeftOn: string(leftOn)}
+func (lo losses) kept() job.Losses {
+	kept := job.Losses{Weak: lo.weak, Suspect: lo.suspect, Late: lo.late}
 	for _, id := range lo.workers {
 		kept.Workers = append(kept.Workers, string(id))
 	}
+	for _, id := range lo.open {
+		kept.Open = append(kept.Open, string(id))
+	}
 	return kept
 }
 
 // recalled is what a former owner kept of losses.
 func recalled(kept job.Losses) losses {
-	lo := losses{weak: kept.Weak, suspect: kept.Suspect, late: kept.Late, leftOn: WorkerID(kept.LeftOn)}
+	lo := losses{weak: kept.Weak, suspect: kept.Suspect, late: kept.Late}
+	for _, id := range kept.Open {
+		lo.leave(WorkerID(id))
+	}
+	if kept.LeftOn != "" {
+		lo.leave(WorkerID(kept.LeftOn))
+	}
 	for _, id := range kept.Workers {
 		lo.workers = append(lo.workers, WorkerID(id))
 	}
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -9,17 +9,20 @@
 )
 
 // placeGang starts all tasks of a gang, or none.
-func (cr *Core) placeGang(now time.Time, st *step, waiting []int, usable []*candidate) {
+func (cr *Core) placeGang(rd *round, st *step, waiting []int) {
 	if len(waiting) < len(st.tasks)-st.done {
 		// Members that are left from before end first; then all start again together.
-		cr.disband(now, st)
+		cr.disband(rd.now, st)
 		return
 	}
 	if !cr.mayStart(st, len(waiting)) {
 		return
 	}
-	for _, group := range racks(st.spec.RackLocal, usable) {
-		if cr.startGang(now, st, waiting, group) {
+	for _, at := range waiting {
+		rd.reopen(st.tasks[at].intent)
+	}
+	for _, group := range racks(st.spec.RackLocal, rd.usable) {
+		if cr.startGang(rd, st, waiting, group) {
 			return
 		}
 	}
@@ -41,14 +44,15 @@
 	return append(groups, usable)
 }
 
-// startGang finds room for every member and only then starts them.
-func (cr *Core) startGang(now time.Time, st *step, waiting []int, group []*candidate) bool {
+// startGang finds room for every member and only then starts them. It reports whether there was room.
+func (cr *Core) startGang(rd *round, st *step, waiting []int, group []*candidate) bool {
+	now := rd.now
 	trial := make([]*candidate, len(group))
 	for at, cd := range group {
 		copied := *cd
 		trial[at] = &copied
 	}
-	chosen := make([]int, 0, len(waiting))
+	chosen := make([]*candidate, 0, len(waiting))
 	held := map[WorkerID]int{}
 	for _, at := range waiting {
 		var best *candidate
@@ -57,16 +61,23 @@
 			if !cr.allowed(now, st, cd) || !st.tasks[at].suits(now, st, cd) || st.spec.SpreadLimit > 0 && st.on(cd.worker)+held[cd.info.ID] >= st.spec.SpreadLimit {
 				continue
 			}
-			if best == nil || cr.cost(st, at, cd) < cr.cost(st, at, best) {
+			intended := st.tasks[at].intent != nil && st.tasks[at].intent.worker == cd.info.ID
+			if best == nil || intended || cr.cost(st, at, cd) < cr.cost(st, at, best) {
 				best, bestAt = cd, slot
 			}
+			if intended {
+				break
+			}
 		}
 		if best == nil {
 			return false
 		}
 		best.free = best.free.Minus(st.spec.Room())
 		held[best.info.ID]++
-		chosen = append(chosen, bestAt)
+		chosen = append(chosen, group[bestAt])
+	}
+	if !cr.keptGang(rd, st, waiting, chosen) {
+		return true
 	}
 	attempt := job.Attempt(0)
 	for at := range st.tasks {
@@ -75,7 +86,7 @@
 	point := st.gangCheckpoint()
 	for order, at := range waiting {
 		st.tasks[at].checkpoint = point
-		cr.start(now, st, at, group[chosen[order]], attempt+1)
+		cr.start(now, st, at, chosen[order], attempt+1)
 	}
 	return true
 }
--- /dev/null
+++ b/cell/intent.go
@@ -0,0 +1,183 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// Intents are starts that are kept before they are ordered, so that a next owner knows where a task was tried whatever became of the owner and
+// of the worker. They cost a write before the start, so that only tasks have them that may have ended a worker already.
+
+// intentFor is for how long an intent holds its room against other tasks.
+const intentFor = 3 * time.Second
+
+// intent is where a task is to be started once that is kept.
+type intent struct {
+	step   *step
+	at     int
+	worker WorkerID
+	// gen is the state of the job from which on it is kept.
+	gen   int
+	since time.Time
+	// held means that room is kept free for it in this round, took how much.
+	held bool
+	took job.Size
+}
+
+// touched reports whether the store was heard of lately, so that a write is likely to be kept soon.
+func (cr *Core) touched(now time.Time) bool { return now.Sub(cr.confirmed) < awayAfter }
+
+// cautious reports whether a task is started only once that is kept: it has lost a worker, or an earlier owner may have lost one with it unseen.
+// An owner out of touch goes on with tasks that have lost one at most.
+func (cr *Core) cautious(now time.Time, js *jobState, ts *taskState) bool {
+	switch count := ts.lost.total() + len(ts.lost.open); {
+	case count > 1:
+		return true
+	case count == 1, js.spec.Epoch < cr.exposed:
+		return cr.touched(now)
+	}
+	return false
+}
+
+// kept reports whether a task may be started on a worker now; if that is to be kept first, it sees to it.
+func (cr *Core) kept(rd *round, st *step, at int, cd *candidate) bool {
+	ts := &st.tasks[at]
+	if !cr.cautious(rd.now, st.job, ts) {
+		return true
+	}
+	if in := ts.intent; in == nil || in.worker != cd.info.ID {
+		cr.intend(rd.now, st, at, cd)
+	}
+	return st.job.savedGen >= ts.intent.gen && cr.alive(rd.now, ts, cd)
+}
+
+// alive reports whether the worker has answered since a suspect that is to have it to itself was meant for it. On one that had ended before
+// without a word, the next loss would prove nothing and count all the same.
+func (cr *Core) alive(now time.Time, ts *taskState, cd *candidate) bool {
+	if ts.lost.number() < lossesAlone || !cd.lookedAt.Before(ts.intent.since) {
+		return true
+	}
+	cd.probedAt = ts.intent.since
+	cd.nextLook = earliest(cd.nextLook, now)
+	return false
+}
+
+// intend has it kept that a task is to be started on a worker.
+func (cr *Core) intend(now time.Time, st *step, at int, cd *candidate) {
+	cr.change(st.job)
+	cr.urgentSave = true
+	in := &intent{step: st, at: at, worker: cd.info.ID, gen: st.job.gen, since: now}
+	cr.forgo(&st.tasks[at])
+	st.tasks[at].intent = in
+	cr.intents = append(cr.intents, in)
+}
+
+// forgo gives up the intent of a task.
+func (cr *Core) forgo(ts *taskState) {
+	if ts.intent == nil {
+		return
+	}
+	cr.intents = slices.DeleteFunc(cr.intents, func(in *intent) bool { return in == ts.intent })
+	ts.intent = nil
+}
+
+// holdIntents keeps room free for the starts that wait to be kept.
+func (cr *Core) holdIntents(rd *round) {
+	cr.intents = slices.DeleteFunc(cr.intents, func(in *intent) bool {
+		ts := &in.step.tasks[in.at]
+		return ts.intent != in || ts.done || in.step.job.ended()
+	})
+	for _, in := range cr.intents {
+		in.held, in.took = false, job.Size{}
+		if rd.now.Sub(in.since) < intentFor {
+			rd.hold(in)
+			if in.step.tasks[in.at].lost.suspect {
+				rd.trials++
+			}
+		}
+	}
+}
+
+// hold keeps the room of an intent from other tasks; a suspect's worker is kept empty.
+func (rd *round) hold(in *intent) {
+	cd := rd.candidate(in.worker)
+	if cd == nil || in.held {
+		return
+	}
+	in.held, in.took = true, in.step.spec.Room()
+	if in.step.tasks[in.at].lost.suspect {
+		in.took = cd.free
+	}
+	cd.free = cd.free.Minus(in.took)
+}
+
+// reopen gives the room of an intent back, for the task itself.
+func (rd *round) reopen(in *intent) {
+	if in == nil || !in.held {
+		return
+	}
+	in.held = false
+	if cd := rd.candidate(in.worker); cd != nil {
+		cd.free = cd.free.Plus(in.took)
+	}
+}
+
+// candidate finds a usable worker by its name; nil if there is none.
+func (rd *round) candidate(id WorkerID) *candidate {
+	if rd.byID == nil {
+		rd.byID = make(map[WorkerID]*candidate, len(rd.usable))
+		for _, cd := range rd.usable {
+			rd.byID[cd.info.ID] = cd
+		}
+	}
+	return rd.byID[id]
+}
+
+// pick chooses the worker for a task: the one that is kept for it if it still fits, otherwise the best. It returns nil if none has room.
+func (cr *Core) pick(rd *round, st *step, at int) *candidate {
+	ts := &st.tasks[at]
+	if in := ts.intent; in != nil {
+		rd.reopen(in)
+		if cd := rd.candidate(in.worker); cd != nil && cr.allowed(rd.now, st, cd) && ts.suits(rd.now, st, cd) {
+			return cd
+		}
+		cr.forgo(ts)
+	}
+	return cr.choose(rd.now, st, at, rd.usable)
+}
+
+// keptGang reports whether all members of a gang may be started on the workers chosen; if that is to be kept first, it sees to it.
+func (cr *Core) keptGang(rd *round, st *step, members []int, chosen []*candidate) bool {
+	cautious := false
+	for _, at := range members {
+		cautious = cautious || cr.cautious(rd.now, st.job, &st.tasks[at])
+	}
+	if !cautious {
+		return true
+	}
+	all := true
+	for order, at := range members {
+		in := st.tasks[at].intent
+		if in == nil || in.worker != chosen[order].info.ID {
+			cr.intend(rd.now, st, at, chosen[order])
+		}
+		all = all && st.job.savedGen >= st.tasks[at].intent.gen && cr.alive(rd.now, &st.tasks[at], chosen[order])
+		rd.hold(st.tasks[at].intent)
+	}
+	return all
+}
+
+// Expose tells up to which owner, none included, tasks may have been lost with workers that no owner saw again.
+func (cr *Core) Expose(epoch job.Epoch) { cr.exposed = max(cr.exposed, epoch) }
+
+// Exposed is what is to be told a next owner of that; 0 once none of the jobs of that time is open.
+func (cr *Core) Exposed() job.Epoch {
+	old := func(js *jobState) bool { return js.spec.Epoch < cr.exposed }
+	// Before the first plan the jobs may not be known.
+	if !cr.planned.IsZero() && !slices.ContainsFunc(cr.open, old) {
+		return 0
+	}
+	return cr.exposed
+}
--- a/cell/keep.go
+++ b/cell/keep.go
@@ -40,11 +40,11 @@
 			}
 			pg.Failed[key] = slices.Clone(ts.failed)
 		}
-		if leftOn := ts.leftOn(); leftOn != "" || ts.lost.suspect || ts.lost.number() > 0 {
+		if lost := ts.left(); lost.suspect || lost.total() > 0 || len(lost.open) > 0 {
 			if pg.Lost == nil {
 				pg.Lost = map[string]job.Losses{}
 			}
-			pg.Lost[key] = ts.lost.kept(leftOn)
+			pg.Lost[key] = lost.kept()
 		}
 		if ts.attempt > 1 {
 			if pg.Attempts == nil {
--- a/cell/look.go
+++ b/cell/look.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/aspenseam/aspenseam/job"
@@ -51,7 +52,7 @@
 	wk.tick(lk.Clock, lk.Received)
 	cr.hearing.heard(lk.Received)
 	wk.fails, wk.lookedAt = 0, lk.Received
-	wk.unhold(now)
+	cr.unhold(now, wk)
 	wk.nextLook = now.Add(cr.opts.LookGap)
 	wk.told = max(wk.told, lk.Observed)
 	first := !wk.fenced
@@ -81,6 +82,9 @@
 			delete(wk.foreign, tk)
 		}
 	}
+	if first {
+		cr.clearLeft(wk.info.ID)
+	}
 	if first || !wk.enlisted {
 		cr.resolve(now, wk.info.ID, "looked at")
 	}
@@ -135,7 +139,8 @@
 	}
 	ts.attempt = max(ts.attempt, rn.Attempt)
 	pl := &placement{task: rn.Task, step: st, worker: wk, attempt: rn.Attempt, phase: running, token: cr.token(wk), room: st.spec.Room(), ordered: now, acked: now, pace: 100, trial: ts.lost.suspect}
-	ts.lost.leftOn = ""
+	pl.noted = slices.Contains(ts.lost.open, wk.info.ID)
+	ts.lost.close(wk.info.ID)
 	if st.spec.BestEffort {
 		// How far an earlier owner throttled it is not known.
 		pl.pace = paceUnknown
--- a/cell/order.go
+++ b/cell/order.go
@@ -62,8 +62,11 @@
 		Version  int64
 		Progress *job.Progress
 	}
-	// Enlist writes the workers that are used into the cell's row.
-	Enlist struct{ Workers []Ref }
+	// Enlist writes the workers that are used into the cell's row, with what Exposed says.
+	Enlist struct {
+		Workers []Ref
+		Exposed job.Epoch
+	}
 	// Advise asks the advice service which workers may run a step.
 	Advise struct {
 		Job     job.ID
--- a/cell/place.go
+++ b/cell/place.go
@@ -111,6 +111,8 @@
 	untried, spare bool
 	// free and room are the sums of the usable workers.
 	free, room size
+	// byID finds the usable workers by name, once it is asked for.
+	byID map[WorkerID]*candidate
 }
 
 // newRound looks at the workers that may get tasks now.
@@ -121,6 +123,7 @@
 		rd.free = size(job.Size(rd.free).Plus(cd.free.OrNone()))
 		rd.room = size(job.Size(rd.room).Plus(cd.info.Room))
 	}
+	cr.holdIntents(rd)
 	return rd
 }
 
@@ -213,21 +216,17 @@
 func (cr *Core) placeStep(rd *round, st *step) bool {
 	now, room := rd.now, st.spec.Room()
 	var waiting, suspects []int
-	held := false
+	held, intended := false, false
 	for at := range st.tasks {
 		ts := &st.tasks[at]
 		if ts.done || ts.place != nil {
 			continue
 		}
+		intended = intended || ts.intent != nil
 		if !ts.lostAt.IsZero() && !cr.confirmed.After(ts.lostAt) {
 			held = true
 			continue
 		}
-		if ts.lost.number() >= lossesAlone && ts.lost.gen > st.job.savedGen {
-			// What is known of it is kept before it is started once more, so that a next owner goes on from there.
-			held = true
-			continue
-		}
 		if ts.notBefore.After(now) {
 			cr.wakeAt(ts.notBefore)
 			held = true
@@ -248,7 +247,7 @@
 	if st.since.IsZero() {
 		st.since = now
 	}
-	if rd.hopeless(room) {
+	if !intended && rd.hopeless(room) {
 		cr.preempt(rd, st, len(waiting))
 		cr.reserve(rd, st, len(waiting))
 		cr.empty(rd, st, len(suspects))
@@ -258,7 +257,7 @@
 		return false
 	}
 	if st.spec.Gang {
-		cr.placeGang(now, st, waiting, rd.usable)
+		cr.placeGang(rd, st, waiting)
 		return false
 	}
 	held = !cr.placeSuspects(rd, st, suspects) || held
@@ -266,7 +265,7 @@
 		if !cr.window.open() || cr.yields(rd, st.job) || !cr.mayStart(st, 1) {
 			return false
 		}
-		cd := cr.choose(now, st, at, rd.usable)
+		cd := cr.pick(rd, st, at)
 		if cd == nil {
 			// The others of the step are as large.
 			rd.filled(room)
@@ -274,6 +273,11 @@
 			cr.reserve(rd, st, len(waiting)-count)
 			return false
 		}
+		if !cr.kept(rd, st, at, cd) {
+			rd.hold(st.tasks[at].intent)
+			held = true
+			continue
+		}
 		cr.start(now, st, at, cd, st.tasks[at].attempt+1)
 		rd.free = size(job.Size(rd.free).Minus(room))
 	}
@@ -384,7 +388,8 @@
 	wk := cd.worker
 	ts.attempt = attempt
 	tk := job.Task{Job: st.job.spec.ID, Run: st.run, Step: st.at, Index: at}
-	pl := &placement{task: tk, step: st, worker: wk, attempt: attempt, phase: starting, token: cr.token(wk), room: st.spec.Room(), ordered: now, pace: 100, trial: ts.lost.suspect}
+	pl := &placement{task: tk, step: st, worker: wk, attempt: attempt, phase: starting, token: cr.token(wk), room: st.spec.Room(), ordered: now, pace: 100, trial: ts.lost.suspect, noted: ts.intent != nil}
+	cr.forgo(ts)
 	ts.place = pl
 	wk.put(pl)
 	cr.window.underWay++
@@ -396,8 +401,6 @@
 	why := "room and turn"
 	if pl.trial {
 		why = "by itself, since workers ended under it"
-		// A next owner is to know where it was tried.
-		cr.change(st.job)
 	}
 	cr.opts.Log(Decision{What: "start", Task: tk, Attempt: attempt, Worker: wk.info.ID, Token: pl.token, Why: why, Age: now.Sub(wk.lookedAt), Losses: ts.lost.total()})
 	cr.order(Start{
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -84,7 +84,7 @@
 	for _, wk := range cr.list {
 		wk.enlisting = true
 	}
-	cr.order(Enlist{cr.Used()})
+	cr.order(Enlist{Workers: cr.Used(), Exposed: cr.Exposed()})
 }
 
 // EnlistFailed tells that the workers could not be named, so that it is tried again.
@@ -191,7 +191,7 @@
 		return due, cr.opts.LookGap, true
 	case wk.observed > wk.told:
 		return latest(due, wk.lookedAt.Add(ackDelay)), 0, true
-	case wantsWord:
+	case wantsWord || wk.lookedAt.Before(wk.probedAt):
 		return due, 0, true
 	}
 	return due, 0, false
--- a/cell/silence_test.go
+++ b/cell/silence_test.go
@@ -27,6 +27,7 @@
 // A worker that stays silent while another answers has lost its tasks: they are started there once its lease is over.
 func TestLeaseIsJudgedOnceOthersAnswer(t *testing.T) {
 	bd := newBed(t, 2)
+	bd.saved = true
 	bd.add("a", bedEpoch, tasks(1))
 	st := bd.wantStarts(bd.plan(), 1)[0]
 	bd.ordered(st, Done)
--- a/cell/task.go
+++ b/cell/task.go
@@ -47,7 +47,7 @@
 	stepsLeft int
 	chainGen  int
 	chainAt   time.Time
-	// abandoned means that an earlier owner left a task of it on a worker that may have ended.
+	// abandoned means that an earlier owner left a task of it on a worker that may have ended, or that one lapsed.
 	abandoned bool
 	// archived means that the table of open jobs has it no more.
 	archived bool
@@ -91,6 +91,7 @@
 	place      *placement
 	notBefore  time.Time
 	lost       losses
+	intent     *intent
 	// lostAt is when it was lost with its worker. It is started again once the ownership is confirmed later than that.
 	lostAt time.Time
 	// avoid is a worker on which it failed or was refused.
@@ -151,6 +152,7 @@
 	}
 	js.beyond = cr.beyondShare(now, js)
 	cr.open = append(cr.open, js)
+	cr.judgeLeft(now, js)
 	cr.claimRuns(now, sd.Spec.ID)
 	if sd.Spec.Epoch > cr.epoch {
 		cr.lose("", "a job names a later owner")
@@ -259,7 +261,7 @@
 		ts.failed, ts.attempt = pg.Failed[key], max(pg.Attempts[key], job.Attempt(len(pg.Failed[key])))
 		if lost, ok := pg.Lost[key]; ok {
 			ts.lost = recalled(lost)
-			st.job.abandoned = st.job.abandoned || lost.LeftOn != ""
+			st.job.abandoned = st.job.abandoned || len(ts.lost.open) > 0
 		}
 		if bits.Has(at) {
 			ts.done = true
@@ -282,7 +284,7 @@
 func (cr *Core) ended(now time.Time, wk *worker, st *step, en End) {
 	ts := &st.tasks[en.Task.Index]
 	ts.attempt = max(ts.attempt, en.Attempt)
-	ts.lost.leftOn = ""
+	ts.lost.close(wk.info.ID)
 	pl := wk.places[en.Task]
 	if pl != nil && pl.attempt == en.Attempt {
 		if en.How == EndDone {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -62,6 +62,8 @@
 	figure   int
 	pace     int
 	paceSent time.Time
+	// noted means that it was kept before its start where it was to run.
+	noted bool
 	// trial means that workers have ended under its task before, passed that this one has outlived it for long enough.
 	trial, passed bool
 }
@@ -96,6 +98,8 @@
 	fails     int
 	// silentAt is when the first of these looks in a row had no answer.
 	silentAt time.Time
+	// probedAt is since when an answer of it is wanted before a suspect is started there.
+	probedAt time.Time
 	// askedAt is when the newest of them was sent.
 	askedAt time.Time
 	// abrupt means that it ended sooner than a call is waited for: the connection broke.
@@ -287,6 +291,7 @@
 		// An owner after this one may have renewed what earlier ones started, unless this one is confirmed later than that.
 		if now.After(at) && cr.confirmed.After(at) {
 			cr.resolve(now, id, "what earlier owners started there is over")
+			cr.Expose(cr.epoch)
 		}
 	}
 	for _, wk := range cr.list {
@@ -305,6 +310,9 @@
 	wk.lapsed = append(wk.lapsed, wk.placed...)
 	for _, pl := range wk.placed {
 		cr.release(now, pl, "its lease has run out")
+		pl.step.tasks[pl.task.Index].lost.leave(wk.info.ID)
+		pl.step.job.abandoned = true
+		cr.change(pl.step.job)
 		cr.hold(now, pl)
 	}
 	wk.raise()
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -50,6 +50,8 @@
 	Incarnation string     `json:"incarnation,omitempty"`
 	Epoch       job.Epoch  `json:"epoch,omitempty"`
 	Workers     []cell.Ref `json:"workers,omitempty"`
+	// Exposed is the owner before which tasks may have been lost with workers that no owner saw again.
+	Exposed job.Epoch `json:"exposed,omitempty"`
 	// Ordered are the machines for which the holder of their duty has given orders of late, or is about to, with for how long from when
 	// the row was written another holder must leave them alone.
 	Ordered map[cell.MachineID]time.Duration `json:"ordered,omitempty"`
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -51,9 +51,9 @@
 	lanes      map[cell.WorkerID]*lane
 	relays     *relays
 	silenced   bool
-	// since is when the cell was claimed, named the workers that its row named then.
-	since time.Time
-	named []cell.Ref
+	// since is when the cell was claimed, claimed the row by which it was.
+	since   time.Time
+	claimed ownerRow
 	// tookOver is set once the core knows what the owner before left.
 	tookOver bool
 	// began is set once the core has planned for the first time.
@@ -65,7 +65,7 @@
 	ow := &owner{
 		fl: fl, name: name, epoch: row.epoch(), cancel: cancel, done: make(chan struct{}), signal: make(chan struct{}, 1),
 		writes: newWrites(), progress: map[job.ID]Row{}, lanes: map[cell.WorkerID]*lane{},
-		since: fl.opts.Now(), named: row.Workers,
+		since: fl.opts.Now(), claimed: row,
 	}
 	ow.relays = newRelays(ow)
 	ow.rowVersion.Store(row.version)
@@ -91,6 +91,7 @@
 	ow.mu.Lock()
 	ow.tookOver = true
 	ow.core.TakeOver(claimed, asked, before.Workers, before.Released)
+	ow.core.Expose(before.Exposed)
 	if cf := fl.config.Load(); cf != nil {
 		ow.core.Configure(cf.Queues)
 		ow.core.Organise(cf)
@@ -371,15 +372,15 @@
 	return saves
 }
 
-// refs are the workers on which this owner, or one before it, may have started tasks; clean tells that only leases named there are open.
-// An owner that gives a cell up before it has taken over passes on what it found.
-func (ow *owner) refs() (refs []cell.Ref, clean bool) {
+// left is the cell's row when this owner gives it up: the workers on which it, or one before it, may have started tasks. Released tells that
+// only leases named there are open. An owner that gives a cell up before it has taken over passes on what it found.
+func (ow *owner) left() ownerRow {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	if !ow.tookOver {
-		return ow.named, false
+		return ownerRow{Workers: ow.claimed.Workers, Exposed: ow.claimed.Exposed}
 	}
-	return ow.core.Release(ow.fl.opts.Now()), true
+	return ownerRow{Workers: ow.core.Release(ow.fl.opts.Now()), Exposed: ow.core.Exposed(), Released: true}
 }
 
 // mayMove reports whether the cell may be given to another instance: it has been here for a while, nothing of earlier owners is open, and no job
--- a/fleet/release.go
+++ b/fleet/release.go
@@ -70,9 +70,9 @@
 	}
 	fl.mu.Unlock()
 	ow.stop()
-	refs, clean := ow.refs()
+	row := ow.left()
 	// A failure is logged there; the others then find the owner gone.
-	_ = fl.vacate(ctx, ow.name, ow.rowVersion.Load(), ownerRow{Workers: refs, Released: clean})
+	_ = fl.vacate(ctx, ow.name, ow.rowVersion.Load(), row)
 }
 
 // vacate writes that a cell has no owner, and tells the peers.
--- a/fleet/writes.go
+++ b/fleet/writes.go
@@ -142,7 +142,7 @@
 	if en == nil {
 		return nil
 	}
-	raw, err := json.Marshal(ownerRow{Holder: ow.fl.opts.Name, Incarnation: ow.fl.opts.Incarnation, Epoch: ow.epoch, Workers: en.Workers})
+	raw, err := json.Marshal(ownerRow{Holder: ow.fl.opts.Name, Incarnation: ow.fl.opts.Incarnation, Epoch: ow.epoch, Workers: en.Workers, Exposed: en.Exposed})
 	if err != nil {
 		return err
 	}
--- a/job/progress.go
+++ b/job/progress.go
@@ -36,7 +36,10 @@
 	Late bool `json:"late,omitempty"`
 	// Suspect means that the task may have caused it.
 	Suspect bool `json:"suspect,omitempty"`
-	// LeftOn is the worker on which it was in trial, or when that fell silent; empty for none.
+	// Open names the lives of which it is not known what became of an attempt there: it was about to be started there, or ran when the
+	// worker fell silent.
+	Open []string `json:"open,omitempty"`
+	// LeftOn is the one of them that rows of the former version name.
 	LeftOn string `json:"leftOn,omitempty"`
 }
 
