--- a/cell/crash_bound_test.go
+++ b/cell/crash_bound_test.go
@@ -139,3 +139,17 @@
 		boundCase{name: fmt.Sprintf("dark %t", dark), stranger: true, dark: dark, after: quick, step: short, span: 30 * time.Second}.play(t)
 	}
 }
+
+// A task that lasts ended each worker some seconds after its start. What had run for that long was never charged, and what had been charged
+// before was taken back.
+func TestLastingTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	lasting := job.Step{Count: 2, Size: job.Size{CPUMillis: 1000, MemoryMB: 100}, LongRunning: true}
+	for _, dark := range []bool{true, false} {
+		boundCase{name: fmt.Sprintf("dark %t", dark), dark: dark, after: []time.Duration{4 * time.Second, 6 * time.Second, 20 * time.Second}, step: lasting, span: 5 * time.Minute}.play(t)
+	}
+}
+
+// Workers ended without a word, and nobody told that they had. Their tasks were started elsewhere each time that the leases had run out.
+func TestTaskOfWorkersThatFallSilentForGoodIsStartedAFewTimes(t *testing.T) {
+	boundCase{name: "untold", dark: true, untold: true, after: quick, step: short, span: 5 * time.Minute}.play(t)
+}
