A task that lasts is charged with workers that end some time after its start, again and again

Cause: a lasting attempt that has run for 5 s was taken for proved, was never charged, and took back what had been charged before. That it had run was also counted to the moment of the charge instead of that of the silence, so that any lasting task of a worker missed late was proved. What ends its workers after more than a minute is not contained, it costs a worker a minute at most.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -16,8 +16,11 @@
 	// 500 ms 420 of 455 innocent jobs were done within 2 s beside 25 guilty ones on 50 workers, with 150 ms 434.
 	suspectWindow = 150 * time.Millisecond
 	// lastingYoung is how long a task that lasts must have run for the end of its worker not to be laid to it: such tasks see many workers
-	// end in their time.
-	lastingYoung = 5 * time.Second
+	// end in their time. If one ended sooner than lastingProved after its start, it is lastingTimes as long, up to lastingProved, from then on:
+	// what ends its workers after a while does so after much the same time again.
+	lastingYoung  = 5 * time.Second
+	lastingTimes  = 8
+	lastingProved = time.Minute
 	// sameInstant is how close together the connections of workers must break for something else than a task to be the likely cause, manyOthers
 	// how many others it takes: where tasks crash ten workers a second, 6 of 100 fall so by chance.
 	sameInstant = 20 * time.Millisecond
@@ -39,6 +42,8 @@
 	weak    int
 	// suspect means that the task may have caused one of them, late that one came a while after its start.
 	suspect, late bool
+	// ran is the longest time that a task which lasts had run when a worker ended under it and that was not laid to it.
+	ran time.Duration
 	// open are the workers of which it is not known what became of an attempt there: it lapsed, or an earlier owner left it.
 	open []WorkerID
 }
@@ -55,6 +60,8 @@
 	strong, alone bool
 	// fresh means that the attempt had just been started, prompt that it was on trial then.
 	fresh, prompt bool
+	// silent is when the worker fell silent.
+	silent time.Time
 }
 
 // breakOff is when the connections of a worker broke.
@@ -103,12 +110,17 @@
 		return
 	}
 	together := cr.withOthers(wk, silent)
-	for _, pl := range victims {
+	// All is judged before any is charged, since a charge changes what is settled.
+	judged := make([]evidence, len(victims))
+	for at, pl := range victims {
 		fresh := silent.Sub(pl.ordered) <= suspectWindow
 		// A worker that never answered the start may have ended before it, one that only fell silent after the attempt was over.
 		// What ran for a while beside a task that had just been started is the less likely cause.
 		strong := !pl.acked.IsZero() && wk.abrupt && !together && !doubtful && (fresh || silent.Sub(newest) > suspectWindow)
-		cr.charge(now, pl, evidence{strong: strong, alone: cr.alone(wk, victims, pl, silent), fresh: fresh, prompt: fresh && pl.onTrial()})
+		judged[at] = evidence{strong: strong, alone: cr.alone(wk, victims, pl, silent), fresh: fresh, prompt: fresh && pl.onTrial(), silent: silent}
+	}
+	for at, pl := range victims {
+		cr.charge(now, pl, judged[at])
 	}
 	cr.chargeLeft(now, wk.info.ID)
 	cr.unhold(now, wk)
@@ -185,14 +197,26 @@
 
 // settledIn reports whether an attempt is one of a task that lasts, and has run for so long that it is not what ends a worker.
 func (pl *placement) settledIn(now time.Time) bool {
-	return pl.step.spec.LongRunning && !pl.acked.IsZero() && now.Sub(pl.acked) > lastingYoung
+	return pl.step.spec.LongRunning && !pl.acked.IsZero() && now.Sub(pl.acked) > pl.step.tasks[pl.task.Index].lost.settles()
+}
+
+// settles is how long a task that lasts must run to be settled.
+func (lo losses) settles() time.Duration {
+	return min(max(lastingYoung, lastingTimes*lo.ran), lastingProved)
 }
 
 // charge notes that a worker ended under an attempt, and gives its job up if that proves its task to be the cause.
 func (cr *Core) charge(now time.Time, pl *placement, ev evidence) {
 	ts, js := &pl.step.tasks[pl.task.Index], pl.step.job
 	ts.lost.close(pl.worker.info.ID)
-	if ts.done || js.ended() || pl.settledIn(now) || slices.Contains(ts.lost.workers, pl.worker.info.ID) {
+	if ts.done || js.ended() || slices.Contains(ts.lost.workers, pl.worker.info.ID) {
+		return
+	}
+	if pl.settledIn(ev.silent) {
+		if ran := ev.silent.Sub(pl.acked); ran < lastingProved && ran > ts.lost.ran {
+			ts.lost.ran = ran
+			cr.change(js)
+		}
 		return
 	}
 	ts.lost.add(pl.worker.info.ID, ev)
@@ -340,7 +364,7 @@
 
 // kept is what is to be known of losses to a next owner.
 func (lo losses) kept() job.Losses {
-	kept := job.Losses{Weak: lo.weak, Suspect: lo.suspect, Late: lo.late}
+	kept := job.Losses{Weak: lo.weak, Suspect: lo.suspect, Late: lo.late, Ran: lo.ran}
 	for _, id := range lo.workers {
 		kept.Workers = append(kept.Workers, string(id))
 	}
@@ -352,7 +376,7 @@
 
 // recalled is what a former owner kept of losses.
 func recalled(kept job.Losses) losses {
-	lo := losses{weak: kept.Weak, suspect: kept.Suspect, late: kept.Late}
+	lo := losses{weak: kept.Weak, suspect: kept.Suspect, late: kept.Late, ran: kept.Ran}
 	for _, id := range kept.Open {
 		lo.leave(WorkerID(id))
 	}
--- a/cell/keep.go
+++ b/cell/keep.go
@@ -40,7 +40,7 @@
 			}
 			pg.Failed[key] = slices.Clone(ts.failed)
 		}
-		if lost := ts.left(); lost.suspect || lost.total() > 0 || len(lost.open) > 0 {
+		if lost := ts.left(); lost.suspect || lost.total() > 0 || lost.ran > 0 || len(lost.open) > 0 {
 			if pg.Lost == nil {
 				pg.Lost = map[string]job.Losses{}
 			}
--- a/cell/trial.go
+++ b/cell/trial.go
@@ -42,9 +42,9 @@
 	if span, ends := ts.lost.probation(); ends && ran >= span {
 		pl.passed = true
 	}
-	if pl.step.spec.LongRunning && ran >= lastingYoung && ts.lost.suspect {
+	if pl.step.spec.LongRunning && ran >= ts.lost.settles() && ts.lost.suspect {
 		// What lasts sees many workers end in its time, so that old losses do not count against it.
-		pl.passed, ts.lost = true, losses{}
+		pl.passed, ts.lost = true, losses{ran: ts.lost.ran, open: ts.lost.open}
 		cr.change(pl.step.job)
 	}
 }
--- a/job/progress.go
+++ b/job/progress.go
@@ -39,6 +39,8 @@
 	// Open names the lives of which it is not known what became of an attempt there: it was about to be started there, or ran when the
 	// worker fell silent.
 	Open []string `json:"open,omitempty"`
+	// Ran is the longest time that a task which lasts had run when a worker ended under it and that was not laid to it.
+	Ran time.Duration `json:"ran,omitempty"`
 	// LeftOn is the one of them that rows of the former version name.
 	LeftOn string `json:"leftOn,omitempty"`
 }
