Attempts on workers that fall silent for good count, and the fourth waits for word of one of them

Callers saw tasks started 44 times in 5 min on workers that ended without a word and of which nobody told. Cause: a lapsed attempt was forgotten with its worker, and a suspect waited 10 s for word and then went on: a pace, no bound. What lapses on a silent worker stays open until the worker answers (nothing was lost), is told as ended (a loss), or is forgotten (a weak loss). Losses and open attempts together bound the starts.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -48,8 +48,11 @@
 	open []WorkerID
 }
 
-// number is how many there are; of the weak ones two or three count as one or two.
-func (lo losses) number() int { return len(lo.workers) + lo.weak*2/3 }
+// number is how many there are; of those that tell little, or may still turn out to be none, two or three count as one or two.
+func (lo losses) number() int { return len(lo.workers) + (lo.weak+len(lo.open))*2/3 }
+
+// suspected reports whether the task may have caused one.
+func (lo losses) suspected() bool { return lo.suspect || lo.number() >= lossesAlone }
 
 // total is how many there are, whatever they tell.
 func (lo losses) total() int { return len(lo.workers) + lo.weak }
@@ -82,8 +85,9 @@
 	Excuse string
 }
 
-// chargeLoss charges the tasks on a worker whose life has ended with its loss, unless it had said that it would leave.
-func (cr *Core) chargeLoss(now time.Time, wk *worker, why string) {
+// chargeLoss charges the tasks on a worker whose life has ended, or that was not heard of again, with its loss, unless it had said that it
+// would leave.
+func (cr *Core) chargeLoss(now time.Time, wk *worker, why string, ended bool) {
 	silent := now
 	if wk.fails > 0 {
 		silent = wk.silentAt
@@ -94,7 +98,7 @@
 		loss.Excuse = "it was leaving"
 	}
 	// That its registration had gone or its machine is wanted may be why it ended, but neither ends a worker by itself.
-	doubtful := wk.known && !wk.listed && wk.unlistedAt.Before(silent) || cr.cordoned(now, wk.info.ID)
+	doubtful := !ended || wk.known && !wk.listed && wk.unlistedAt.Before(silent) || cr.cordoned(now, wk.info.ID)
 	var newest time.Time
 	for _, pl := range victims {
 		newest = latest(newest, pl.ordered)
--- a/cell/intent.go
+++ b/cell/intent.go
@@ -93,7 +93,7 @@
 		in.held, in.took = false, job.Size{}
 		if rd.now.Sub(in.since) < intentFor {
 			rd.hold(in)
-			if in.step.tasks[in.at].lost.suspect {
+			if in.step.tasks[in.at].lost.suspected() {
 				rd.trials++
 			}
 		}
@@ -107,7 +107,7 @@
 		return
 	}
 	in.held, in.took = true, in.step.spec.Room()
-	if in.step.tasks[in.at].lost.suspect {
+	if in.step.tasks[in.at].lost.suspected() {
 		in.took = cd.free
 	}
 	cd.free = cd.free.Minus(in.took)
--- a/cell/look.go
+++ b/cell/look.go
@@ -138,7 +138,7 @@
 		return nil
 	}
 	ts.attempt = max(ts.attempt, rn.Attempt)
-	pl := &placement{task: rn.Task, step: st, worker: wk, attempt: rn.Attempt, phase: running, token: cr.token(wk), room: st.spec.Room(), ordered: now, acked: now, pace: 100, trial: ts.lost.suspect}
+	pl := &placement{task: rn.Task, step: st, worker: wk, attempt: rn.Attempt, phase: running, token: cr.token(wk), room: st.spec.Room(), ordered: now, acked: now, pace: 100, trial: ts.lost.suspected()}
 	pl.noted = slices.Contains(ts.lost.open, wk.info.ID)
 	ts.lost.close(wk.info.ID)
 	if st.spec.BestEffort {
--- a/cell/place.go
+++ b/cell/place.go
@@ -227,12 +227,17 @@
 			held = true
 			continue
 		}
+		if ts.lost.total()+len(ts.lost.open) >= lossesMost {
+			// One more would be one too many, unless one of those that are open turns out to be none.
+			held = true
+			continue
+		}
 		if ts.notBefore.After(now) {
 			cr.wakeAt(ts.notBefore)
 			held = true
 			continue
 		}
-		if ts.lost.suspect && !st.spec.Gang {
+		if ts.lost.suspected() && !st.spec.Gang {
 			suspects = append(suspects, at)
 			continue
 		}
@@ -344,7 +349,7 @@
 	if st.tasks[at].avoid == cd.info.ID {
 		cost += weightAvoid
 	}
-	if st.tasks[at].lost.suspect {
+	if st.tasks[at].lost.suspected() {
 		cost += weightCompany * float64(len(cd.placed))
 	}
 	if sp.LongRunning {
@@ -388,7 +393,7 @@
 	wk := cd.worker
 	ts.attempt = attempt
 	tk := job.Task{Job: st.job.spec.ID, Run: st.run, Step: st.at, Index: at}
-	pl := &placement{task: tk, step: st, worker: wk, attempt: attempt, phase: starting, token: cr.token(wk), room: st.spec.Room(), ordered: now, pace: 100, trial: ts.lost.suspect, noted: ts.intent != nil}
+	pl := &placement{task: tk, step: st, worker: wk, attempt: attempt, phase: starting, token: cr.token(wk), room: st.spec.Room(), ordered: now, pace: 100, trial: ts.lost.suspected(), noted: ts.intent != nil}
 	cr.forgo(ts)
 	ts.place = pl
 	wk.put(pl)
--- a/cell/trial.go
+++ b/cell/trial.go
@@ -42,7 +42,7 @@
 	if span, ends := ts.lost.probation(); ends && ran >= span {
 		pl.passed = true
 	}
-	if pl.step.spec.LongRunning && ran >= ts.lost.settles() && ts.lost.suspect {
+	if pl.step.spec.LongRunning && ran >= ts.lost.settles() && ts.lost.suspected() {
 		// What lasts sees many workers end in its time, so that old losses do not count against it.
 		pl.passed, ts.lost = true, losses{ran: ts.lost.ran, open: ts.lost.open}
 		cr.change(pl.step.job)
@@ -128,7 +128,7 @@
 	count := 0
 	for at := range st.tasks {
 		ts := &st.tasks[at]
-		if pl := ts.place; pl != nil && pl.onTrial() || ts.intent != nil && ts.intent.held && ts.lost.suspect {
+		if pl := ts.place; pl != nil && pl.onTrial() || ts.intent != nil && ts.intent.held && ts.lost.suspected() {
 			count++
 		}
 	}
@@ -153,7 +153,7 @@
 // suits reports whether a suspect may be started on a worker: beside tasks that have proved themselves after its first loss, beside none
 // but those that last after that.
 func (ts *taskState) suits(now time.Time, st *step, cd *candidate) bool {
-	if !ts.lost.suspect {
+	if !ts.lost.suspected() {
 		return true
 	}
 	for _, other := range cd.placed {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -263,7 +263,7 @@
 // bury forgets a worker whose life has ended: nothing runs there any more.
 func (cr *Core) bury(now time.Time, wk *worker, why string) {
 	cr.opts.Log(Decision{What: "worker gone", Worker: wk.info.ID, Why: why, Age: now.Sub(wk.lookedAt)})
-	cr.chargeLoss(now, wk, why)
+	cr.chargeLoss(now, wk, why, true)
 	for _, pl := range wk.placed {
 		// Another owner may have taken note of its end before the worker went.
 		pl.step.tasks[pl.task.Index].lostAt = now
@@ -300,11 +300,19 @@
 		}
 		_, open := cr.unresolved[wk.info.ID]
 		if !wk.listed && !open && len(wk.places) == 0 && !wk.lossOpen(now) && !wk.unlistedAt.IsZero() && now.Sub(wk.unlistedAt) > unlistedFor && (wk.fails > 0 || now.Sub(wk.unlistedAt) > 3*unlistedFor) {
-			cr.remove(wk)
+			cr.forgetWorker(now, wk)
 		}
 	}
 }
 
+// forgetWorker forgets a worker that has been gone from the list for long. If it has fallen silent, it counts as lost to what it may have run.
+func (cr *Core) forgetWorker(now time.Time, wk *worker) {
+	if wk.fails > 0 {
+		cr.chargeLoss(now, wk, "not heard of again", false)
+	}
+	cr.remove(wk)
+}
+
 // lapse releases all that was leased on a silent worker; before it gets anything new it is looked at under a higher token.
 func (cr *Core) lapse(now time.Time, wk *worker) {
 	wk.lapsed = append(wk.lapsed, wk.placed...)
