Attempts of tasks that have cost two workers are not stopped for others

Each stop of such an attempt, by preemption, from a slow worker or from one that is wanted, costs a further start of a task that has few left, and proves nothing.

--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		sp := pl.step.spec
-		if pl.phase == running && !sp.LongRunning && !sp.Gang && !pl.step.job.ended() && cr.queues[pl.step.job.spec.Queue].Priority > priority {
+		if pl.phase == running && !sp.LongRunning && !sp.Gang && !pl.step.job.ended() && !pl.spared() && cr.queues[pl.step.job.spec.Queue].Priority > priority {
 			lower = append(lower, pl)
 		}
 	}
--- a/cell/speed.go
+++ b/cell/speed.go
@@ -121,7 +121,7 @@
 // all would have to start again.
 func (cr *Core) rescuable(now time.Time, pl *placement) bool {
 	sp := pl.step.spec
-	if pl.phase != running || pl.stopping || sp.LongRunning || sp.BestEffort || sp.Gang || pl.step.tasks[pl.task.Index].rescues >= rescueMost {
+	if pl.phase != running || pl.stopping || sp.LongRunning || sp.BestEffort || sp.Gang || pl.spared() || pl.step.tasks[pl.task.Index].rescues >= rescueMost {
 		return false
 	}
 	mean := cr.run.of(pl.step.job.spec.Queue).task.Seconds()
--- a/cell/trial.go
+++ b/cell/trial.go
@@ -32,6 +32,12 @@
 // onTrial reports whether an attempt of a suspect has not proved yet that its worker outlives it.
 func (pl *placement) onTrial() bool { return pl.trial && !pl.passed }
 
+// spared reports whether an attempt is not stopped for others: its task has cost workers, and would have to be tried once more.
+func (pl *placement) spared() bool {
+	lost := pl.step.tasks[pl.task.Index].lost
+	return lost.total()+len(lost.open) >= lossesAlone
+}
+
 // proved notes that a worker answers with an attempt running there, which clears a suspect of suspicion in time.
 func (cr *Core) proved(pl *placement, sent time.Time) {
 	ts := &pl.step.tasks[pl.task.Index]
--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -23,7 +23,7 @@
 			}
 			// A worker that leaves takes its tasks with it in any case. A task that was not at work when it was last looked at
 			// may be by now, so it counts, too.
-			if !wk.info.Draining && !cr.mayDisturb(pl) {
+			if !wk.info.Draining && (pl.spared() || !cr.mayDisturb(pl)) {
 				continue
 			}
 			pl.stopping, pl.why = true, "its worker is to be empty"
