--- a/cell/crash.go
+++ b/cell/crash.go
@@ -63,8 +63,8 @@
 	strong, alone bool
 	// fresh means that the attempt had just been started, prompt that it was on trial then.
 	fresh, prompt bool
-	// silent is when the worker fell silent.
-	silent time.Time
+	// seen is when the worker answered last; an attempt that it had then is known to have run until then.
+	seen time.Time
 }
 
 // breakOff is when the connections of a worker broke.
@@ -105,23 +105,19 @@
 		loss.Before = max(loss.Before, len(pl.step.tasks[pl.task.Index].lost.workers))
 	}
 	loss.SinceStart = silent.Sub(newest)
-	defer cr.remember(wk, victims)
+	defer cr.remember(wk, cr.concerned(wk.info.ID, victims))
 	if len(victims) > 0 {
 		cr.opts.Log(Decision{What: "worker lost with tasks", Worker: wk.info.ID, Why: why, Age: now.Sub(wk.lookedAt), Loss: &loss})
 	}
 	if loss.Excuse != "" {
+		cr.clearLeft(wk.info.ID)
 		cr.unhold(now, wk)
 		return
 	}
-	together := cr.withOthers(wk, silent)
 	// All is judged before any is charged, since a charge changes what is settled.
 	judged := make([]evidence, len(victims))
 	for at, pl := range victims {
-		fresh := silent.Sub(pl.ordered) <= suspectWindow
-		// A worker that never answered the start may have ended before it, one that only fell silent after the attempt was over.
-		// What ran for a while beside a task that had just been started is the less likely cause.
-		strong := !pl.acked.IsZero() && wk.abrupt && !together && !doubtful && (fresh || silent.Sub(newest) > suspectWindow)
-		judged[at] = evidence{strong: strong, alone: cr.alone(wk, victims, pl, silent), fresh: fresh, prompt: fresh && pl.onTrial(), silent: silent}
+		judged[at] = cr.judge(wk, victims, pl, silent, newest, doubtful)
 	}
 	for at, pl := range victims {
 		cr.charge(now, pl, judged[at])
@@ -130,6 +126,15 @@
 	cr.unhold(now, wk)
 }
 
+// judge says what the end of a worker tells of an attempt there; newest is when the last one was started.
+func (cr *Core) judge(wk *worker, victims []*placement, pl *placement, silent, newest time.Time, doubtful bool) evidence {
+	fresh := silent.Sub(pl.ordered) <= suspectWindow
+	// A worker that never answered the start may have ended before it, one that only fell silent after the attempt was over.
+	// What ran for a while beside a task that had just been started is the less likely cause.
+	strong := !pl.acked.IsZero() && wk.abrupt && !doubtful && !cr.withOthers(wk, silent) && (fresh || silent.Sub(newest) > suspectWindow)
+	return evidence{strong: strong, alone: cr.alone(wk, victims, pl), fresh: fresh, prompt: fresh && pl.onTrial(), seen: wk.lookedAt}
+}
+
 // grave is a worker whose end is still to be kept of some jobs. Until then a next owner is to look for it.
 type grave struct {
 	ref Ref
@@ -137,11 +142,25 @@
 	jobs map[*jobState]int
 }
 
-// remember has the cell's row name a worker that has ended until what it cost is kept.
-func (cr *Core) remember(wk *worker, victims []*placement) {
-	gv := grave{ref: Ref{ID: wk.info.ID, Address: wk.info.Address}, jobs: map[*jobState]int{}}
+// concerned are the jobs of which something is, or may be, on a worker.
+func (cr *Core) concerned(id WorkerID, victims []*placement) []*jobState {
+	var list []*jobState
 	for _, pl := range victims {
-		gv.jobs[pl.step.job] = pl.step.job.gen
+		list = append(list, pl.step.job)
+	}
+	for _, js := range cr.open {
+		for range js.openOn(id) {
+			list = append(list, js)
+		}
+	}
+	return list
+}
+
+// remember has the cell's row name a worker that is forgotten until what its end meant for some jobs is kept.
+func (cr *Core) remember(wk *worker, jobs []*jobState) {
+	gv := grave{ref: Ref{ID: wk.info.ID, Address: wk.info.Address}, jobs: map[*jobState]int{}}
+	for _, js := range jobs {
+		gv.jobs[js] = js.gen
 	}
 	cr.graves = append(cr.graves, gv)
 }
@@ -168,12 +187,12 @@
 }
 
 // alone reports whether nothing but an attempt, or its gang, can have ended its worker.
-func (cr *Core) alone(wk *worker, victims []*placement, pl *placement, silent time.Time) bool {
+func (cr *Core) alone(wk *worker, victims []*placement, pl *placement) bool {
 	if len(wk.foreign) > 0 {
 		return false
 	}
 	for _, other := range victims {
-		if other != pl && !(pl.step.spec.Gang && other.step == pl.step) && !other.settledIn(silent) {
+		if other != pl && !(pl.step.spec.Gang && other.step == pl.step) && !other.settledIn(wk.lookedAt) {
 			return false
 		}
 	}
@@ -199,9 +218,14 @@
 	return others >= manyOthers
 }
 
-// settledIn reports whether an attempt is one of a task that lasts, and has run for so long that it is not what ends a worker.
-func (pl *placement) settledIn(now time.Time) bool {
-	return pl.step.spec.LongRunning && !pl.acked.IsZero() && now.Sub(pl.acked) > pl.step.tasks[pl.task.Index].lost.settles()
+// settledIn reports whether an attempt is one of a task that lasts, and had run for so long at a time that it is not what ends a worker.
+func (pl *placement) settledIn(at time.Time) bool {
+	return pl.lastsFor(at, pl.step.tasks[pl.task.Index].lost.settles())
+}
+
+// lastsFor reports whether an attempt is one of a task that lasts, and had run for longer than a span at a time.
+func (pl *placement) lastsFor(at time.Time, span time.Duration) bool {
+	return pl.step.spec.LongRunning && !pl.acked.IsZero() && at.Sub(pl.acked) > span
 }
 
 // settles is how long a task that lasts must run to be settled.
@@ -216,8 +240,8 @@
 	if ts.done || js.ended() || slices.Contains(ts.lost.workers, pl.worker.info.ID) {
 		return
 	}
-	if pl.settledIn(ev.silent) {
-		if ran := ev.silent.Sub(pl.acked); ran < lastingProved && ran > ts.lost.ran {
+	if pl.settledIn(ev.seen) {
+		if ran := ev.seen.Sub(pl.acked); ran < lastingProved && ran > ts.lost.ran {
 			ts.lost.ran = ran
 			cr.change(js)
 		}
@@ -306,23 +330,21 @@
 	for _, js := range cr.open {
 		for st, at := range js.openOn(id) {
 			st.tasks[at].lost.close(id)
-			js.settled = false
+			cr.change(js)
 		}
 	}
 }
 
 // judgeLeft judges the attempts that an earlier owner left of a job that was read just now, by what is known of their workers already.
-func (cr *Core) judgeLeft(now time.Time, js *jobState) {
+func (cr *Core) judgeLeft(js *jobState) {
 	for _, rn := range js.runs {
 		for _, st := range rn.steps {
 			for at := range st.tasks {
 				for _, id := range slices.Clone(st.tasks[at].lost.open) {
-					switch wk := cr.workers[id]; {
-					case wk == nil:
-						// No owner names it any more, so that it has ended.
-						cr.chargeOn(now, st, at, id, evidence{})
-					case wk.fenced && wk.fails == 0:
+					// One that no owner names any more is one whose end was kept as far as it concerned the job.
+					if wk := cr.workers[id]; wk == nil || wk.fenced && wk.fails == 0 {
 						st.tasks[at].lost.close(id)
+						cr.change(js)
 					}
 				}
 			}
--- a/cell/intent.go
+++ b/cell/intent.go
@@ -26,25 +26,15 @@
 	took job.Size
 }
 
-// touched reports whether the store was heard of lately, so that a write is likely to be kept soon.
-func (cr *Core) touched(now time.Time) bool { return now.Sub(cr.confirmed) < awayAfter }
-
 // cautious reports whether a task is started only once that is kept: it has lost a worker, or an earlier owner may have lost one with it unseen.
-// An owner out of touch goes on with tasks that have lost one at most.
-func (cr *Core) cautious(now time.Time, js *jobState, ts *taskState) bool {
-	switch count := ts.lost.total() + len(ts.lost.open); {
-	case count > 1:
-		return true
-	case count == 1, js.spec.Epoch < cr.exposed:
-		return cr.touched(now)
-	}
-	return false
+func (cr *Core) cautious(js *jobState, ts *taskState) bool {
+	return ts.lost.total()+len(ts.lost.open) > 0 || js.spec.Epoch < cr.exposed
 }
 
 // kept reports whether a task may be started on a worker now; if that is to be kept first, it sees to it.
 func (cr *Core) kept(rd *round, st *step, at int, cd *candidate) bool {
 	ts := &st.tasks[at]
-	if !cr.cautious(rd.now, st.job, ts) {
+	if !cr.cautious(st.job, ts) {
 		return true
 	}
 	if in := ts.intent; in == nil || in.worker != cd.info.ID {
@@ -83,6 +73,14 @@
 	ts.intent = nil
 }
 
+// drop gives up an intent that did not become a start, which a next owner is to know.
+func (cr *Core) drop(st *step, at int) {
+	if st.tasks[at].intent != nil {
+		cr.forgo(&st.tasks[at])
+		cr.change(st.job)
+	}
+}
+
 // holdIntents keeps room free for the starts that wait to be kept.
 func (cr *Core) holdIntents(rd *round) {
 	cr.intents = slices.DeleteFunc(cr.intents, func(in *intent) bool {
@@ -143,7 +141,7 @@
 		if cd := rd.candidate(in.worker); cd != nil && cr.allowed(rd.now, st, cd) && ts.suits(rd.now, st, cd) {
 			return cd
 		}
-		cr.forgo(ts)
+		cr.drop(st, at)
 	}
 	return cr.choose(rd.now, st, at, rd.usable)
 }
@@ -152,7 +150,7 @@
 func (cr *Core) keptGang(rd *round, st *step, members []int, chosen []*candidate) bool {
 	cautious := false
 	for _, at := range members {
-		cautious = cautious || cr.cautious(rd.now, st.job, &st.tasks[at])
+		cautious = cautious || cr.cautious(st.job, &st.tasks[at])
 	}
 	if !cautious {
 		return true
--- a/cell/place.go
+++ b/cell/place.go
@@ -109,6 +109,8 @@
 	// the higher one.
 	trials         int
 	untried, spare bool
+	// taken counts those that they had before the round.
+	taken int
 	// free and room are the sums of the usable workers.
 	free, room size
 	// byID finds the usable workers by name, once it is asked for.
@@ -117,7 +119,8 @@
 
 // newRound looks at the workers that may get tasks now.
 func (cr *Core) newRound(now time.Time) *round {
-	rd := &round{now: now, usable: cr.usable(now), trials: cr.trials()}
+	taken := cr.trials()
+	rd := &round{now: now, usable: cr.usable(now), trials: taken, taken: taken}
 	for _, cd := range rd.usable {
 		// A room that has shrunk below what runs in it takes nothing from the others.
 		rd.free = size(job.Size(rd.free).Plus(cd.free.OrNone()))
--- a/cell/task.go
+++ b/cell/task.go
@@ -152,7 +152,7 @@
 	}
 	js.beyond = cr.beyondShare(now, js)
 	cr.open = append(cr.open, js)
-	cr.judgeLeft(now, js)
+	cr.judgeLeft(js)
 	cr.claimRuns(now, sd.Spec.ID)
 	if sd.Spec.Epoch > cr.epoch {
 		cr.lose("", "a job names a later owner")
--- a/cell/trial.go
+++ b/cell/trial.go
@@ -48,9 +48,14 @@
 	if span, ends := ts.lost.probation(); ends && ran >= span {
 		pl.passed = true
 	}
-	if pl.step.spec.LongRunning && ran >= ts.lost.settles() && ts.lost.suspected() {
+	if !pl.step.spec.LongRunning || ran < lastingYoung {
+		return
+	}
+	// Others are not kept waiting for a worker until it has proved itself.
+	pl.passed = true
+	if ran >= ts.lost.settles() && ts.lost.suspected() {
 		// What lasts sees many workers end in its time, so that old losses do not count against it.
-		pl.passed, ts.lost = true, losses{ran: ts.lost.ran, open: ts.lost.open}
+		ts.lost = losses{ran: ts.lost.ran, open: ts.lost.open}
 		cr.change(pl.step.job)
 	}
 }
@@ -126,7 +131,8 @@
 	if rd.spare {
 		share = trialSpare
 	}
-	return max(1, int(share*float64(len(rd.usable))))
+	// Those that suspects have are not among the usable ones.
+	return max(1, int(share*float64(len(rd.usable)+rd.taken)))
 }
 
 // onTrial counts the tasks of a step that are on trial, or about to be.
@@ -165,7 +171,7 @@
 	for _, other := range cd.placed {
 		switch {
 		case st.spec.Gang && other.step == st:
-		case other.settledIn(now):
+		case other.lastsFor(now, lastingYoung):
 		case ts.lost.number() >= lossesAlone:
 			return false
 		case other.phase != running || other.acked.IsZero() || now.Sub(other.acked) < probation:
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -257,6 +257,10 @@
 	if ts.place == pl {
 		ts.place = nil
 	}
+	if pl.noted {
+		// A next owner is not to look for it there.
+		cr.change(pl.step.job)
+	}
 	cr.opts.Log(Decision{What: "attempt over", Task: pl.task, Attempt: pl.attempt, Worker: pl.worker.info.ID, Token: pl.token, Why: why, Age: now.Sub(pl.worker.lookedAt)})
 }
 
