--- a/cell/model_check_test.go
+++ b/cell/model_check_test.go
@@ -77,7 +77,7 @@
 		for _, st := range rn.steps {
 			for at := range st.tasks {
 				ts := &st.tasks[at]
-				md.note("step %d %+v task %d done %t attempt %d placed %+v", st.at, *st.spec, at, ts.done, ts.attempt, ts.place)
+				md.note("step %d %+v task %d done %t attempt %d lost %+v intent %+v placed %+v", st.at, *st.spec, at, ts.done, ts.attempt, ts.lost, ts.intent, ts.place)
 			}
 		}
 	}
--- a/cell/model_crash_test.go
+++ b/cell/model_crash_test.go
@@ -13,8 +13,6 @@
 	modelCrash  = 1500
 	// modelCrashes is after how many crashes a guilty task may be started twice more.
 	modelCrashes = 3
-	// modelNotice is how long it takes an owner to notice a crash: a call that is not answered, and the answers of up to three questions.
-	modelNotice = 6 * time.Second
 	// modelCensus is the least time between two questions which lives have ended.
 	modelCensus = 1200 * time.Millisecond
 	// roomKnown is how long an owner may take to know that a room has shrunk: its registration is told within modelTold, and an owner that
@@ -28,23 +26,23 @@
 	guilty map[job.Task]bool
 	// under counts the workers that ended while a task ran there, by itself those that it ended.
 	under, itself map[job.Task]int
-	// more counts the starts of a guilty task after modelCrashes, late those that a worker carried out late.
+	// more counts the starts of a guilty task after modelCrashes.
 	more map[job.Task]int
 	// failures counts the attempts of a task that failed.
 	failures map[job.Task]int
 	// innocent counts jobs given up that have no guilty task, given all that were.
 	innocent, given int
 	// rooms are what workers had, newest last.
-	rooms map[WorkerID][]modelRoom
+	rooms map[WorkerID][]roomUntil
 }
 
-type modelRoom struct {
+type roomUntil struct {
 	until time.Time
 	room  job.Size
 }
 
 func newModelPlague() modelPlague {
-	return modelPlague{guilty: map[job.Task]bool{}, under: map[job.Task]int{}, itself: map[job.Task]int{}, more: map[job.Task]int{}, failures: map[job.Task]int{}, rooms: map[WorkerID][]modelRoom{}}
+	return modelPlague{guilty: map[job.Task]bool{}, under: map[job.Task]int{}, itself: map[job.Task]int{}, more: map[job.Task]int{}, failures: map[job.Task]int{}, rooms: map[WorkerID][]roomUntil{}}
 }
 
 // infect makes the first task of one of a job's steps a guilty one, in some jobs.
@@ -75,26 +73,14 @@
 	for tk, rn := range wk.runs {
 		md.plague.under[tk]++
 		if rn.crashes && !md.now.Before(rn.ends) {
-			md.noteCrash(wk.info.ID, tk)
-		}
-	}
-}
-
-// noteCrash counts a crash once an owner that was in touch with the store and the worker has had the time to notice and keep it. An owner that
-// has taken over and is cut off from a worker does not know what its predecessor had just started there, and nobody can tell it after the crash.
-func (md *model) noteCrash(id WorkerID, tk job.Task) {
-	ow, crashed := md.current(), md.now
-	md.at(modelNotice, func() {
-		if ow != nil && ow == md.current() && ow.cutStore.Before(crashed) && ow.frozen.Before(crashed) && ow.cutWorkers[id].Before(crashed) {
 			md.plague.itself[tk]++
 		}
-	})
+	}
 }
 
-// checkCrashes checks that a task which crashes its workers is not started a third time more. Orders that a worker carried out late do not
-// count, nor do those of an owner that could not hear of another.
+// checkCrashes checks that a task which has ended modelCrashes workers is not started a third time more by owners that hear of the store.
 func (md *model) checkCrashes(tk job.Task) {
-	if md.plague.itself[tk] < modelCrashes || md.deaf || md.now.Sub(md.sent) > modelTold*time.Millisecond {
+	if md.plague.itself[tk] < modelCrashes || md.deaf {
 		return
 	}
 	md.plague.more[tk]++
@@ -136,7 +122,7 @@
 		return
 	}
 	rooms := md.plague.rooms[wk.info.ID]
-	md.plague.rooms[wk.info.ID] = append(rooms, modelRoom{md.now, wk.info.Room})
+	md.plague.rooms[wk.info.ID] = append(rooms, roomUntil{md.now, wk.info.Room})
 	wk.info.Room.CPUMillis = 1000 + 500*md.rnd.Intn(7)
 	info := wk.info
 	md.note("%s has room for %d", info.ID, info.Room.CPUMillis)
--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -26,6 +26,8 @@
 	modelQueue    = job.QueueID("queue")
 	modelUrgent   = job.QueueID("urgent")
 	modelAttempts = 3
+	// modelRoom is what a worker has room for at first, and in the end again, in thousandths of a processor.
+	modelRoom = 4000
 	// knownWithin is how long a task may still be started by an owner that has not heard that another one completed the job with ends
 	// whose leases had run out; the users' rules allow it.
 	knownWithin = time.Second
@@ -192,7 +194,7 @@
 	}
 	id := WorkerID(fmt.Sprintf("w%d", md.names))
 	md.workers[id] = &truthWorker{
-		info:  Worker{ID: id, Pool: modelPool, Address: address, Rack: fmt.Sprintf("r%d", md.rnd.Intn(2)), Room: job.Size{CPUMillis: 4000, MemoryMB: 4000}},
+		info:  Worker{ID: id, Pool: modelPool, Address: address, Rack: fmt.Sprintf("r%d", md.rnd.Intn(2)), Room: job.Size{CPUMillis: modelRoom, MemoryMB: 4000}},
 		alive: true, rate: 1 - 0.02*md.rnd.Float64(), runs: map[job.Task]*truthRun{}, over: map[job.Task]job.Attempt{},
 	}
 	for _, ow := range md.owners {
@@ -662,12 +664,16 @@
 	return true
 }
 
-// rest ends the troubles and lets the last owner finish.
+// rest ends the troubles and lets the last owner finish. The workers have all their room again: some tasks need more than one that has shrunk
+// has.
 func (md *model) rest() {
 	md.calm = true
 	for _, ow := range md.owners {
 		ow.dead = true
 	}
+	for _, wk := range md.sorted() {
+		wk.info.Room.CPUMillis = modelRoom
+	}
 	md.claim()
 	until := md.now.Add(2 * time.Minute)
 	for md.now.Before(until) && md.next() {
--- a/cell/model_trouble_test.go
+++ b/cell/model_trouble_test.go
@@ -17,7 +17,8 @@
 	wk := list[md.rnd.Intn(len(list))]
 	switch md.rnd.Intn(10) {
 	case 0:
-		ow.frozen = md.now.Add(md.millis(100, 9000))
+		// What waits for the end of an earlier freeze would come late if this one ended it sooner.
+		ow.frozen = latest(ow.frozen, md.now.Add(md.millis(100, 9000)))
 		md.note("owner %d freezes until %v", ow.epoch, ow.frozen)
 		md.at(ow.frozen.Sub(md.now)+time.Millisecond, func() { md.plan(ow) })
 	case 1:
