--- a/worker/placer_test.go
+++ b/worker/placer_test.go
@@ -26,6 +26,8 @@
 	// lost workers answer nothing, and crashing jobs make the worker that starts them one of those.
 	lost     map[table.InstanceID]bool
 	crashing map[worker.JobID]bool
+	// crashes counts the workers that a job has crashed.
+	crashes map[worker.JobID]int
 	used     func(worker.JobID) worker.Size
 	reports  []worker.Report
 	broken   []string
@@ -40,7 +42,7 @@
 }
 
 func newFarm() *farm {
-	return &farm{tasks: map[worker.JobID]*run{}, attempts: map[worker.JobID]worker.Attempt{}, badWorkers: map[table.InstanceID]bool{}, badJobs: map[worker.JobID]bool{}, lost: map[table.InstanceID]bool{}, crashing: map[worker.JobID]bool{}, began: map[worker.JobID]time.Time{}, used: func(worker.JobID) worker.Size { return worker.Size{CPUMillis: 500, MemoryMB: 500} }}
+	return &farm{tasks: map[worker.JobID]*run{}, attempts: map[worker.JobID]worker.Attempt{}, badWorkers: map[table.InstanceID]bool{}, badJobs: map[worker.JobID]bool{}, lost: map[table.InstanceID]bool{}, crashing: map[worker.JobID]bool{}, crashes: map[worker.JobID]int{}, began: map[worker.JobID]time.Time{}, used: func(worker.JobID) worker.Size { return worker.Size{CPUMillis: 500, MemoryMB: 500} }}
 }
 
 // Start takes a task, or renews its lease; a lease that lies in the past and an older attempt are refused.
@@ -49,6 +51,7 @@
 	defer fm.mu.Unlock()
 	fm.settle()
 	if fm.crashing[tk.Job] && !fm.lost[tk.Instance] {
+		fm.crashes[tk.Job]++
 		fm.lose(tk.Instance)
 	}
 	if fm.lost[tk.Instance] {
@@ -303,6 +306,33 @@
 	})
 }
 
+// A job crashed each worker that started it while placers came and went, each of which told the worker again of an attempt that nobody had
+// answered for: what earlier ones had tried was known to none of them.
+func TestJobThatCrashesWorkersUnderPlacersByTurnsIsGivenUp(t *testing.T) {
+	inShop(t, 6, func(ctx context.Context, sh *shop) {
+		sh.fm.crashing["j003"] = true
+		var ids []worker.JobID
+		for range 6 {
+			ids = append(ids, sh.submit(nil))
+		}
+		for turn := range 120 {
+			turnCtx, end := context.WithCancel(ctx)
+			sh.placer(turnCtx, table.InstanceID(fmt.Sprintf("e%d", turn%3)))
+			time.Sleep(90 * time.Second)
+			end()
+			time.Sleep(10 * time.Second)
+		}
+		for _, id := range ids {
+			if want, jb := map[bool]worker.JobState{true: worker.JobFailed, false: worker.JobDone}[id == "j003"], sh.job(id); jb.State != want {
+				t.Errorf("%s is %s on %s in attempt %d, want %s", id, jb.State, jb.Instance, jb.Attempt, want)
+			}
+		}
+		if got := sh.fm.crashes["j003"]; got > 5 {
+			t.Errorf("the job has crashed workers %d times, want 5 at most", got)
+		}
+	})
+}
+
 func TestWaveOfCancellationsTakesFewWrites(t *testing.T) {
 	inShop(t, 4, func(ctx context.Context, sh *shop) {
 		var ids []worker.JobID
