Placers renew what runs and start again what is unknown, a bounded number of times in all

Callers of the product's own interface saw a job crash 11 workers where each placer was soon followed by another. Cause: a placer told the worker again of each attempt that it had not placed itself, and a worker that had come back after its crash began it anew; how often that had been done was known to the one placer only. Leases are renewed by a call that begins nothing (renew); a worker that does not know the attempt says so (404), and only then is it started again, twice a job in all, kept in its row before.

--- a/standin/tasks.go
+++ b/standin/tasks.go
@@ -111,6 +111,10 @@
 		http.Error(wr, "old attempt or lapsed lease", http.StatusConflict)
 		return
 	}
+	if tk.Renew && tk.Attempt > ts.newest[tk.Job] {
+		http.Error(wr, "no such attempt", http.StatusNotFound)
+		return
+	}
 	if rn := ts.running[tk.Job]; rn != nil && rn.task.Attempt == tk.Attempt {
 		rn.task.LeaseUntil = tk.LeaseUntil
 	} else if tk.Attempt > ts.newest[tk.Job] {
--- a/table/table.go
+++ b/table/table.go
@@ -137,6 +137,8 @@
 	ErrNotApplied = errors.New("not applied")
 	// ErrLost says that a call may have taken effect, now or later.
 	ErrLost = errors.New("answer lost")
+	// ErrNoTask means that a worker was asked to renew the lease of an attempt that it does not know.
+	ErrNoTask = errors.New("no such attempt")
 )
 
 // ConflictError names the rows whose version was another than the condition's; nothing was applied.
--- a/table/tasks.go
+++ b/table/tasks.go
@@ -15,6 +15,9 @@
 	if err != nil {
 		return eris.Wrapf(ErrLost, "task on %s: %v", id, err)
 	}
+	if rp.StatusCode() == http.StatusNotFound {
+		return eris.Wrapf(ErrNoTask, "task on %s", id)
+	}
 	if rp.IsError() {
 		return eris.Wrapf(ErrNotApplied, "task on %s: status %d %s", id, rp.StatusCode(), rp.String())
 	}
--- a/worker/steps.go
+++ b/worker/steps.go
@@ -14,8 +14,10 @@
 const (
 	// lostMost is how many workers may be lost under a job, one after the other, before it is given up. Each takes two leases to notice.
 	lostMost = 3
-	// vainMost is how often a start without an answer is repeated: it may be what ends the worker. What came of it shows at the lease's end.
+	// vainMost is how often a worker that does not answer is asked for an attempt. What came of it shows at the lease's end.
 	vainMost = 2
+	// repeatsMost is how often in all a job is started again on a worker that does not know of its attempt: it may be what ended the worker.
+	repeatsMost = 2
 )
 
 // settle takes the ends of tasks over into their jobs.
@@ -133,7 +135,28 @@
 			changed = append(changed, jb)
 		}
 	}
-	return pl.start(ctx, changed)
+	unknown, err := pl.tell(ctx, changed, true)
+	if err != nil {
+		return err
+	}
+	return pl.repeat(ctx, unknown)
+}
+
+// repeat starts attempts again that their workers do not know. That is kept first, so that placers by turns do not repeat it without a bound.
+func (pl *Placer) repeat(ctx context.Context, unknown []*Job) error {
+	var changed []*Job
+	for _, jb := range unknown {
+		if jb.Repeats < repeatsMost {
+			next := *jb
+			next.Repeats++
+			changed = append(changed, &next)
+		}
+	}
+	if err := pl.write(ctx, changed); err != nil {
+		return err
+	}
+	_, err := pl.tell(ctx, changed, false)
+	return err
 }
 
 // place puts queued jobs on workers: first in the table, under the lease, and then at the workers.
@@ -156,7 +179,8 @@
 	if err := pl.write(ctx, changed); err != nil {
 		return err
 	}
-	return pl.start(ctx, changed)
+	_, err := pl.tell(ctx, changed, false)
+	return err
 }
 
 // placing gathers what a round of placement is made from.
@@ -220,17 +244,23 @@
 	return nil
 }
 
-// start tells workers of tasks that are theirs by the table; one that cannot be told is asked again in the next round.
-func (pl *Placer) start(ctx context.Context, changed []*Job) error {
+// tell tells workers of tasks that are theirs by the table, to start them or only to renew their leases; one that cannot be told is asked in the
+// next round. It returns the jobs that were to be renewed and that their workers do not know.
+func (pl *Placer) tell(ctx context.Context, changed []*Job, renew bool) (unknown []*Job, err error) {
 	for _, jb := range changed {
 		if jb.State != JobRunning {
 			continue
 		}
 		pl.before()
 		if !pl.opts.Now().Before(jb.LeaseUntil) {
-			return ErrLapsed
+			return nil, ErrLapsed
+		}
+		err := pl.workers.Start(ctx, Task{Job: jb.ID, Attempt: jb.Attempt, Instance: jb.Instance, Granted: jb.Granted, LeaseUntil: jb.LeaseUntil, Renew: renew})
+		if errors.Is(err, table.ErrNoTask) {
+			delete(pl.told, jb.ID)
+			unknown = append(unknown, jb)
+			continue
 		}
-		err := pl.workers.Start(ctx, Task{Job: jb.ID, Attempt: jb.Attempt, Instance: jb.Instance, Granted: jb.Granted, LeaseUntil: jb.LeaseUntil})
 		if err != nil {
 			pl.opts.Log.Emit(event.PlacementFailed, zap.String("job", string(jb.ID)), zap.Error(err))
 			delete(pl.told, jb.ID)
@@ -240,5 +270,5 @@
 		pl.told[jb.ID] = jb.Attempt
 		delete(pl.vain, jb.ID)
 	}
-	return nil
+	return unknown, nil
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -84,6 +84,8 @@
 	FailedOn []table.InstanceID `json:"failedOn,omitempty"`
 	// LostOn lists those that were not heard of until its lease was over.
 	LostOn []table.InstanceID `json:"lostOn,omitempty"`
+	// Repeats is how often a worker was told again to start it that did not know of it.
+	Repeats int `json:"repeats,omitempty"`
 	// Why explains an end other than done.
 	Why string `json:"why,omitempty"`
 	// version is that of the row which the job was decoded from.
@@ -109,6 +111,8 @@
 	Granted  Size             `json:"granted"`
 	// LeaseUntil is when the worker stops the task by itself.
 	LeaseUntil time.Time `json:"leaseUntil"`
+	// Renew means that the worker renews the lease of an attempt that it knows, and begins none.
+	Renew bool `json:"renew,omitempty"`
 }
 
 // TaskState is a worker's word on a task.
@@ -135,7 +139,8 @@
 
 // Workers runs tasks.
 type Workers interface {
-	// Start runs a task, or renews the lease of the same attempt; a worker refuses an attempt older than one that it knows.
+	// Start runs a task, or renews the lease of the same attempt; a worker refuses an attempt older than one that it knows. With Renew it
+	// returns table.ErrNoTask for an attempt that the worker does not know.
 	Start(ctx context.Context, tk Task) error
 	// Stop stops an attempt, after a checkpoint if asked.
 	Stop(ctx context.Context, id table.InstanceID, job JobID, at Attempt, checkpoint bool) error
