Stand-ins: jobs that end the workers that start them; a real process test through killed placers

jobs.taskLease sets how long a job of the product's own interface runs on without its placer being heard of (5 minutes as before), so that the test need not wait for ten.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -202,6 +202,7 @@
 		"caller":   {},
 		"endpoint": {},
 		"tls":      {},
+		"jobs":     {},
 	}
 	for section, values := range fl.sp.settings {
 		maps.Copy(st[section], values)
--- a/proof/jobs_test.go
+++ b/proof/jobs_test.go
@@ -106,6 +106,41 @@
 	}
 }
 
+// A job ends each worker that starts it, while the entry instance that places is killed again and again. It is given up, and the jobs beside it
+// are done.
+func TestJobThatCrashesWorkersIsGivenUpThroughKilledPlacers(t *testing.T) {
+	fl := newFleet(t, shape{halls: 1, entries: 3, endpoints: 6, settings: map[string]map[string]any{"jobs": {"taskLease": "3s"}}})
+	ctx := context.Background()
+	dk := fl.entries[0].desk()
+	if err := dk.SetQuota(ctx, worker.Quota{Team: "heat", Slots: 100}); err != nil {
+		t.Fatal(err)
+	}
+	control(t, http.MethodPut, fl.store, "/control/tasks", standin.TaskFaults{RunMs: 300, CrashBy: []worker.JobID{"bad"}, BackMs: 1000, Used: worker.Size{CPUMillis: 500, MemoryMB: 500}}, nil)
+	const good = 12
+	all := []operator.JobRequest{jobRequest("bad", false)}
+	for number := range good {
+		all = append(all, jobRequest(fmt.Sprintf("j%03d", number), false))
+	}
+	if err := dk.Submit(ctx, all...); err != nil {
+		t.Fatal(err)
+	}
+	for crash := range 3 {
+		eventually(t, fmt.Sprintf("crash %d", crash+1), func() bool { return fl.taskCounts().Crashes["bad"] > crash })
+		if killed := fl.holder(); killed != nil {
+			killed.kill()
+			fl.startEntry(killed)
+			fl.awaitReady(killed)
+		}
+	}
+	fl.awaitJobs(fl.entries[0], worker.JobFailed, 1)
+	fl.awaitJobs(fl.entries[0], worker.JobDone, good)
+	counts := fl.taskCounts()
+	t.Logf("%d workers ended by the job", counts.Crashes["bad"])
+	if counts.Crashes["bad"] > 5 || len(counts.Overlaps) > 0 {
+		t.Errorf("%d workers ended by the job, overlaps %v", counts.Crashes["bad"], counts.Overlaps)
+	}
+}
+
 func TestUrgentJobAmongManyAndBadWorkerAndCancellation(t *testing.T) {
 	fl := newFleet(t, shape{halls: 1, entries: 2, endpoints: 4})
 	ctx := context.Background()
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -72,6 +72,7 @@
 	{path: "endpoint.ejectForMax", doc: "Longest time out of routing between two trials.", target: func(st *Settings) any { return &st.Endpoint.EjectForMax }, fallback: 10 * time.Second, low: 10 * time.Millisecond, high: time.Hour},
 	{path: "endpoint.ejectShareMax", doc: "Largest share of a service's endpoints that may be ejected; beyond it the detector is distrusted.", unit: unitShare, target: func(st *Settings) any { return &st.Endpoint.EjectShareMax }, fallback: 0.5, low: 0.0, high: 1.0},
 	{path: "endpoint.goneAfter", doc: "Time of refused connections alone after which an endpoint's sessions are moved.", target: func(st *Settings) any { return &st.Endpoint.GoneAfter }, fallback: 3 * time.Second, low: 100 * time.Millisecond, high: time.Hour},
+	{path: "jobs.taskLease", doc: "How long a job runs on without its placer being heard of. One whose worker is lost is placed again after twice that time; shorter stops jobs in outages of the platform.", target: func(st *Settings) any { return &st.Jobs.TaskLease }, fallback: 5 * time.Minute, low: time.Second, high: 24 * time.Hour},
 }
 
 // fleetSection begins the paths of fleet settings; the document itself has no such section.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,12 +25,18 @@
 	Operators []Operator
 	Caller    Caller
 	Endpoint  Endpoint
+	Jobs      Jobs
 	// Fleet is filled by ParseFleet only.
 	Fleet Fleet
 	// Cells is filled by ParseCells only.
 	Cells Cells
 }
 
+// Jobs holds the times of jobs of the product's own interface.
+type Jobs struct {
+	TaskLease time.Duration
+}
+
 // Cells holds the times of cells of jobs and the weights of pool sizes.
 type Cells struct {
 	// Lease, RenewFor and LookGap are the times of leases and looks at workers.
--- a/standin/tasks.go
+++ b/standin/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -19,6 +20,10 @@
 	RunMs int `json:"runMs"`
 	// FailOn lists workers on which every task fails.
 	FailOn []table.InstanceID `json:"failOn"`
+	// CrashBy lists jobs each of which ends the worker that starts it, with all that runs there. Its next life serves after BackMs and knows
+	// of nothing.
+	CrashBy []worker.JobID `json:"crashBy"`
+	BackMs  int            `json:"backMs"`
 	// Used is what each task is seen to take.
 	Used worker.Size `json:"used"`
 }
@@ -29,6 +34,8 @@
 	Starts map[worker.JobID]int `json:"starts"`
 	// Overlaps lists jobs of which two attempts ran at once.
 	Overlaps []worker.JobID `json:"overlaps"`
+	// Crashes counts by job how many workers it ended.
+	Crashes map[worker.JobID]int `json:"crashes"`
 	// Refused counts starts with an old attempt or a lease in the past.
 	Refused int `json:"refused"`
 	// FirstMs is when each job first began, in milliseconds since 1970 UTC.
@@ -43,6 +50,8 @@
 	newest  map[worker.JobID]worker.Attempt
 	ended   []ended
 	counts  TaskCounts
+	// backAt is when workers that ended have their next life.
+	backAt map[table.InstanceID]time.Time
 }
 
 type running struct {
@@ -57,7 +66,7 @@
 
 // NewTasks returns workers without tasks, each of which takes a second.
 func NewTasks() *Tasks {
-	return &Tasks{faults: TaskFaults{RunMs: 1000, Used: worker.Size{CPUMillis: 500, MemoryMB: 500}}, running: map[worker.JobID]*running{}, newest: map[worker.JobID]worker.Attempt{}, counts: TaskCounts{Starts: map[worker.JobID]int{}, FirstMs: map[worker.JobID]int64{}}}
+	return &Tasks{faults: TaskFaults{RunMs: 1000, Used: worker.Size{CPUMillis: 500, MemoryMB: 500}}, running: map[worker.JobID]*running{}, newest: map[worker.JobID]worker.Attempt{}, backAt: map[table.InstanceID]time.Time{}, counts: TaskCounts{Starts: map[worker.JobID]int{}, Crashes: map[worker.JobID]int{}, FirstMs: map[worker.JobID]int64{}}}
 }
 
 // settle ends the tasks whose time or lease is over; the lock is held.
@@ -106,6 +115,9 @@
 	defer ts.mu.Unlock()
 	now := time.Now()
 	ts.settle(now)
+	if now.Before(ts.backAt[tk.Instance]) {
+		abort()
+	}
 	if tk.Attempt < ts.newest[tk.Job] || !now.Before(tk.LeaseUntil) {
 		ts.counts.Refused++
 		http.Error(wr, "old attempt or lapsed lease", http.StatusConflict)
@@ -120,6 +132,10 @@
 	} else if tk.Attempt > ts.newest[tk.Job] {
 		ts.begin(rn, tk, now)
 	}
+	if slices.Contains(ts.faults.CrashBy, tk.Job) && ts.running[tk.Job] != nil {
+		ts.crash(tk, now)
+		abort()
+	}
 	wr.WriteHeader(http.StatusNoContent)
 }
 
@@ -135,6 +151,18 @@
 	ts.running[tk.Job] = &running{task: tk, ends: now.Add(time.Duration(ts.faults.RunMs) * time.Millisecond)}
 }
 
+// crash ends the worker of a task.
+func (ts *Tasks) crash(tk worker.Task, now time.Time) {
+	ts.counts.Crashes[tk.Job]++
+	ts.backAt[tk.Instance] = now.Add(time.Duration(ts.faults.BackMs) * time.Millisecond)
+	for id, rn := range ts.running {
+		if rn.task.Instance == tk.Instance {
+			delete(ts.running, id)
+			ts.newest[id] = rn.task.Attempt - 1
+		}
+	}
+}
+
 // stop ends a task.
 func (ts *Tasks) stop(wr http.ResponseWriter, rq *http.Request) {
 	attempt, err := strconv.Atoi(rq.PathValue("attempt"))
--- a/worker/placer.go
+++ b/worker/placer.go
@@ -73,6 +73,9 @@
 	return func(op *Options) { op.Entry, op.Incarnation = id, inc }
 }
 
+// WithTaskLease sets how long a task runs on without its placer being heard of.
+func WithTaskLease(lease time.Duration) Option { return func(op *Options) { op.TaskLease = lease } }
+
 // WithLog sets the logger.
 func WithLog(lg *event.Logger) Option { return func(op *Options) { op.Log = lg } }
 
