--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -687,19 +687,44 @@
 func TestModel(t *testing.T) {
 	played := 0
 	for seed := *modelSeed; played < *modelSteps; seed++ {
-		md := newModel(seed)
-		for md.steps < modelEvents && md.next() {
-		}
-		if md.broken == "" {
-			md.rest()
-		}
-		if md.broken != "" {
-			for _, line := range md.trace {
-				t.Log(line)
-			}
-			t.Fatalf("seed %d after %d events: %s", seed, md.steps, md.broken)
-		}
-		played += md.steps
+		played += playWorld(t, seed)
 	}
 	t.Logf("%d events", played)
 }
+
+// playWorld plays the world of a seed to its end and returns how many events it had.
+func playWorld(t *testing.T, seed int64) int {
+	t.Helper()
+	md := newModel(seed)
+	for md.steps < modelEvents && md.next() {
+	}
+	if md.broken == "" {
+		md.rest()
+	}
+	if md.broken != "" {
+		for _, line := range md.trace {
+			t.Log(line)
+		}
+		t.Fatalf("seed %d after %d events: %s", seed, md.steps, md.broken)
+	}
+	return md.steps
+}
+
+// Worlds in which tasks were started too often after crashes, jobs given up for losses that were none, workers left idle beside suspects, or
+// in which the model itself told owners late.
+func TestModelOfSeedsThatFailed(t *testing.T) {
+	for _, seed := range []int64{
+		7, 32, 91, 103, 225, 20015, 20044, 20049, 20051, 20075, 20111, 40001, 40003, 40117, 40140, 40219, 40226, 60020, 60147, 60166, 60197, 60212, 60242,
+		80021, 80027, 80057, 80092, 80108, 80131, 80203, 80224, 80230, 80238, 80267, 80278, 80287, 100029, 100201, 100253, 120014, 120050, 120060, 120104, 120259, 120274,
+	} {
+		playWorld(t, seed)
+	}
+}
+
+// Jobs that lost workers four times over were given up though fewer than two had crashed under them: attempts that had ended unread, or that
+// were kept and never ordered since their owner was replaced in that moment, count as losses.
+func TestModelGivesUpForCrashesAlone(t *testing.T) {
+	for _, seed := range []int64{80258, 20271, 20434} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playWorld(t, seed) })
+	}
+}
