--- a/cell/intent.go
+++ b/cell/intent.go
@@ -10,8 +10,12 @@
 // Intents are starts that are kept before they are ordered, so that a next owner knows where a task was tried whatever became of the owner and
 // of the worker. They cost a write before the start, so that only tasks have them that may have ended a worker already.
 
-// intentFor is for how long an intent holds its room against other tasks.
-const intentFor = 3 * time.Second
+const (
+	// intentFor is for how long an intent holds its room against other tasks.
+	intentFor = 3 * time.Second
+	// aheadFor is how long a task waits for room on the worker that is kept for it before another is chosen.
+	aheadFor = 1500 * time.Millisecond
+)
 
 // intent is where a task is to be started once that is kept.
 type intent struct {
@@ -24,6 +28,8 @@
 	// held means that room is kept free for it in this round, took how much.
 	held bool
 	took job.Size
+	// ahead means that it was made for when the worker has room, and holds none.
+	ahead bool
 }
 
 // cautious reports whether a task is started only once that is kept: it has lost a worker, or an earlier owner may have lost one with it unseen.
@@ -40,6 +46,8 @@
 	if in := ts.intent; in == nil || in.worker != cd.info.ID {
 		cr.intend(rd.now, st, at, cd)
 	}
+	// From now on its room is held.
+	ts.intent.ahead = false
 	return st.job.savedGen >= ts.intent.gen && cr.alive(rd.now, ts, cd)
 }
 
@@ -64,6 +72,40 @@
 	cr.intents = append(cr.intents, in)
 }
 
+// intendAhead has it kept of tasks for which there is no room where they are to be started once there is some, so that room which becomes free
+// is not left idle for as long as a write takes. It is for tasks that are not known to have lost a worker, and plans no more for a worker than
+// that has room for in all.
+func (cr *Core) intendAhead(rd *round, st *step, members []int) {
+	for _, at := range members {
+		ts := &st.tasks[at]
+		if ts.place != nil || ts.intent != nil || ts.lost.total()+len(ts.lost.open) > 0 || !cr.cautious(st.job, ts) {
+			continue
+		}
+		cd := rd.leastAhead(st)
+		if cd == nil {
+			return
+		}
+		cr.intend(rd.now, st, at, cd)
+		ts.intent.ahead = true
+		cd.ahead = cd.ahead.Plus(st.spec.Room())
+	}
+}
+
+// leastAhead is the worker for which the least is planned ahead of those that may run one more task of a step; nil if there is none.
+func (rd *round) leastAhead(st *step) *candidate {
+	var best *candidate
+	for _, cd := range rd.usable {
+		sp := st.spec
+		if sp.Label != "" && !hasLabel(cd.info.Labels, sp.Label) || sp.DataRack != "" && cd.info.Rack != sp.DataRack || sp.SpreadLimit > 0 {
+			continue
+		}
+		if cd.ahead.Plus(sp.Room()).Fits(cd.info.Room) && (best == nil || cd.ahead.CPUMillis < best.ahead.CPUMillis) {
+			best = cd
+		}
+	}
+	return best
+}
+
 // forgo gives up the intent of a task.
 func (cr *Core) forgo(ts *taskState) {
 	if ts.intent == nil {
@@ -89,6 +131,12 @@
 	})
 	for _, in := range cr.intents {
 		in.held, in.took = false, job.Size{}
+		if in.ahead {
+			if cd := rd.candidate(in.worker); cd != nil {
+				cd.ahead = cd.ahead.Plus(in.step.spec.Room())
+			}
+			continue
+		}
 		if rd.now.Sub(in.since) < intentFor {
 			rd.hold(in)
 			if in.step.tasks[in.at].lost.suspected() {
@@ -133,14 +181,20 @@
 	return rd.byID[id]
 }
 
-// pick chooses the worker for a task: the one that is kept for it if it still fits, otherwise the best. It returns nil if none has room.
+// pick chooses the worker for a task: the one that is kept for it if it still fits, otherwise the best. It returns nil if none has room, or if
+// the task waits for room on the worker that is kept for it.
 func (cr *Core) pick(rd *round, st *step, at int) *candidate {
 	ts := &st.tasks[at]
 	if in := ts.intent; in != nil {
 		rd.reopen(in)
-		if cd := rd.candidate(in.worker); cd != nil && cr.allowed(rd.now, st, cd) && ts.suits(rd.now, st, cd) {
+		cd := rd.candidate(in.worker)
+		if cd != nil && cr.allowed(rd.now, st, cd) && ts.suits(rd.now, st, cd) {
 			return cd
 		}
+		if cd != nil && in.ahead && rd.now.Sub(in.since) < aheadFor {
+			cr.wakeAt(in.since.Add(aheadFor))
+			return nil
+		}
 		cr.drop(st, at)
 	}
 	return cr.choose(rd.now, st, at, rd.usable)
--- a/cell/place.go
+++ b/cell/place.go
@@ -91,6 +91,8 @@
 type candidate struct {
 	*worker
 	free job.Size
+	// ahead is the room of what is to be started there once there is some.
+	ahead job.Size
 }
 
 // round is what one pass of placing knows.
@@ -256,6 +258,7 @@
 		st.since = now
 	}
 	if !intended && rd.hopeless(room) {
+		cr.intendAhead(rd, st, waiting)
 		cr.preempt(rd, st, len(waiting))
 		cr.reserve(rd, st, len(waiting))
 		cr.empty(rd, st, len(suspects))
@@ -269,17 +272,20 @@
 		return false
 	}
 	held = !cr.placeSuspects(rd, st, suspects) || held
-	for count, at := range waiting {
+	without := 0
+	for _, at := range waiting {
 		if !cr.window.open() || cr.yields(rd, st.job) || !cr.mayStart(st, 1) {
 			return false
 		}
+		if without > 0 && st.tasks[at].intent == nil {
+			// The others of the step are as large.
+			without++
+			continue
+		}
 		cd := cr.pick(rd, st, at)
 		if cd == nil {
-			// The others of the step are as large.
-			rd.filled(room)
-			cr.preempt(rd, st, len(waiting)-count)
-			cr.reserve(rd, st, len(waiting)-count)
-			return false
+			without++
+			continue
 		}
 		if !cr.kept(rd, st, at, cd) {
 			rd.hold(st.tasks[at].intent)
@@ -289,6 +295,13 @@
 		cr.start(now, st, at, cd, st.tasks[at].attempt+1)
 		rd.free = size(job.Size(rd.free).Minus(room))
 	}
+	if without > 0 {
+		rd.filled(room)
+		cr.intendAhead(rd, st, waiting)
+		cr.preempt(rd, st, without)
+		cr.reserve(rd, st, without)
+		return false
+	}
 	st.since = time.Time{}
 	return !held
 }
