Ended jobs leave the table of open ones at the rate at which they end

Cause, by the logs (events 809 to 811, 836): 32 jobs each three seconds were taken out of the table, and some 80 a second end; a new owner read over 2 MB of them for 8 to 18 s, was taken for dead, and the next began anew.

--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -25,6 +25,8 @@
 	loadPoll = 10 * time.Millisecond
 	// archiveEvery is how often the rows of ended jobs are removed from the table of open ones.
 	archiveEvery = 3 * time.Second
+	// archiveAgain is the pause before the next round while more of them are left: whoever takes the cell over reads them all.
+	archiveAgain = 300 * time.Millisecond
 	// archiveMost is how many jobs are removed at once: three rows each stay below a transaction's 100 entries.
 	archiveMost = 32
 	// archiveParts is how many parts a round removes rows from where each takes a transaction of its own, since each has its price.
--- a/fleet/save.go
+++ b/fleet/save.go
@@ -60,16 +60,26 @@
 
 // archive takes the rows of ended jobs out of the table of open jobs. Nothing waits for it, so it rests while the store is slow.
 func (ow *owner) archive(ctx context.Context) {
+	pause := archiveEvery
 	for ctx.Err() == nil {
-		sleep(ctx, archiveEvery)
+		sleep(ctx, pause)
+		pause = archiveEvery
 		if ow.fl.link.usual() > slowCommit {
 			continue
 		}
 		ow.sweep(ctx)
-		ow.archiveEnded(ctx)
+		pause = archivePause(ow.archiveEnded(ctx))
 	}
 }
 
+// archivePause is when the next round follows one that took so many jobs out of the table of open ones.
+func archivePause(taken int) time.Duration {
+	if taken < archiveMost {
+		return archiveEvery
+	}
+	return archiveAgain
+}
+
 // sweep removes what is kept of jobs whose retention is over: first that they exist, then how they ended.
 func (ow *owner) sweep(ctx context.Context) {
 	ids := ow.expired()
@@ -147,12 +157,12 @@
 }
 
 // archiveEnded makes one round of archive.
-func (ow *owner) archiveEnded(ctx context.Context) {
+func (ow *owner) archiveEnded(ctx context.Context) int {
 	ow.mu.Lock()
 	ids := ow.core.Archivable(archiveMost)
 	ow.mu.Unlock()
 	if len(ids) == 0 {
-		return
+		return 0
 	}
 	// Those that fail are removed in a later round; until then they only lengthen a takeover.
 	ids = ow.remove(ctx, ids, func(id job.ID) []Place {
@@ -162,4 +172,5 @@
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	ow.core.Archived(ids)
+	return len(ids)
 }
--- a/fleet/writes_test.go
+++ b/fleet/writes_test.go
@@ -123,3 +123,19 @@
 	}
 	return or
 }
+
+// While jobs end faster than a round every three seconds takes out of the table of open ones, it goes on at once: a new owner read more than two
+// megabytes of ended jobs over a link of 250 KB/s, and lost the cell before it had done so.
+func TestEndedJobsAreTakenOutAtTheRateAtWhichTheyEnd(t *testing.T) {
+	if got := archivePause(archiveMost); got != archiveAgain {
+		t.Errorf("%v after a full round", got)
+	}
+	for _, taken := range []int{0, 1, archiveMost - 1} {
+		if got := archivePause(taken); got != archiveEvery {
+			t.Errorf("%v after a round that took %d", got, taken)
+		}
+	}
+	if perSecond := float64(archiveMost) / archiveAgain.Seconds(); perSecond < 100 {
+		t.Errorf("%.0f jobs a second", perSecond)
+	}
+}
