Takeovers expose less, and what is kept of exposed jobs takes fewer bytes

Causes, by the logs: a cell's row went on naming workers that had left long ago (91 named, some 30 there), each of which exposed all jobs of before; each row named a worker for each task. Workers that are gone leave the cell's row along with the next save; one whose machine was moved to another pool was empty, and exposes nothing; open attempts are kept by worker, with a bitmap of tasks; intents of jobs that are not known to have lost a worker share saves with ends; tasks of a step stay together.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -52,6 +52,8 @@
 type Ref struct {
 	ID      WorkerID `json:"id"`
 	Address string   `json:"address"`
+	// Machine is its machine, as far as it is known.
+	Machine MachineID `json:"machine,omitempty"`
 	// Left is for how long, from when it was written, leases of earlier owners may still be running there; only a release has it.
 	Left time.Duration `json:"left,omitempty"`
 }
@@ -92,6 +94,11 @@
 	urgentSave         bool
 	window             window
 	hearing            hearing
+	// outdated means that the cell's row names workers that are gone; tidiedAt is when such were last taken from it.
+	outdated bool
+	tidiedAt time.Time
+	// vacated are workers of earlier owners on which nothing was left when they ended.
+	vacated map[WorkerID]bool
 	// graves are workers whose end is still to be kept.
 	graves []grave
 	// intents are the starts that wait to be kept.
@@ -128,7 +135,7 @@
 	return &Core{
 		opts: options.WithDefaults(), pool: pool, epoch: epoch,
 		queues: map[job.QueueID]job.Queue{}, jobs: map[job.ID]*jobState{}, workers: map[WorkerID]*worker{},
-		unresolved: map[WorkerID]time.Time{}, dirty: map[job.ID]*jobState{}, cordons: map[WorkerID]bool{}, run: runtimes{}, ledger: NewLedger(string(pool), epoch), allotments: map[job.OrganisationID]*allotment{},
+		unresolved: map[WorkerID]time.Time{}, vacated: map[WorkerID]bool{}, dirty: map[job.ID]*jobState{}, cordons: map[WorkerID]bool{}, run: runtimes{}, ledger: NewLedger(string(pool), epoch), allotments: map[job.OrganisationID]*allotment{},
 	}
 }
 
@@ -140,7 +147,7 @@
 	for _, rf := range used {
 		wk := cr.worker(rf.ID)
 		if wk.info.Address == "" {
-			wk.info = Worker{ID: rf.ID, Pool: cr.pool, Address: rf.Address}
+			wk.info = Worker{ID: rf.ID, Machine: rf.Machine, Pool: cr.pool, Address: rf.Address}
 			// It is forgotten once it is resolved, unless a registration names it.
 			wk.unlistedAt = now
 		}
@@ -236,7 +243,7 @@
 func (cr *Core) Used() []Ref {
 	var refs []Ref
 	for _, wk := range cr.list {
-		refs = append(refs, Ref{ID: wk.info.ID, Address: wk.info.Address})
+		refs = append(refs, Ref{ID: wk.info.ID, Address: wk.info.Address, Machine: wk.info.Machine})
 	}
 	cr.graves = slices.DeleteFunc(cr.graves, func(gv grave) bool { return !gv.unkept() })
 	for _, gv := range cr.graves {
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -158,7 +158,7 @@
 
 // remember has the cell's row name a worker that is forgotten until what its end meant for some jobs is kept.
 func (cr *Core) remember(wk *worker, jobs []*jobState) {
-	gv := grave{ref: Ref{ID: wk.info.ID, Address: wk.info.Address}, jobs: map[*jobState]int{}}
+	gv := grave{ref: Ref{ID: wk.info.ID, Address: wk.info.Address, Machine: wk.info.Machine}, jobs: map[*jobState]int{}}
 	for _, js := range jobs {
 		gv.jobs[js] = js.gen
 	}
@@ -394,18 +394,12 @@
 	for _, id := range lo.workers {
 		kept.Workers = append(kept.Workers, string(id))
 	}
-	for _, id := range lo.open {
-		kept.Open = append(kept.Open, string(id))
-	}
 	return kept
 }
 
 // recalled is what a former owner kept of losses.
 func recalled(kept job.Losses) losses {
 	lo := losses{weak: kept.Weak, suspect: kept.Suspect, late: kept.Late, ran: kept.Ran}
-	for _, id := range kept.Open {
-		lo.leave(WorkerID(id))
-	}
 	if kept.LeftOn != "" {
 		lo.leave(WorkerID(kept.LeftOn))
 	}
--- /dev/null
+++ b/cell/exposure_test.go
@@ -0,0 +1,56 @@
+package cell
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// A takeover found workers in the cell's row whose machines had been moved away long before. Each job of before was then started only once that
+// was kept, and half of the workers' room stood idle. Machines are moved once nothing is left there, so that such a worker exposes nothing; one
+// that ended where it was does.
+func TestVacatedWorkersExposeNothing(t *testing.T) {
+	for _, vacated := range []bool{true, false} {
+		bd := newBed(t, 1)
+		bd.core.TakeOver(bd.now, bd.now, []Ref{{ID: "gone", Address: "gone", Machine: "m1"}}, true)
+		bd.add("old", 1, tasks(1))
+		if got := bd.core.MachineOf("gone"); got != "m1" {
+			t.Fatalf("the machine is %q", got)
+		}
+		if vacated {
+			bd.core.Vacated(bd.now, "gone")
+		} else {
+			bd.core.Gone(bd.now, "gone")
+		}
+		bd.core.Plan(bd.now)
+		bd.pass(time.Millisecond)
+		if got := len(starts(bd.plan())); (got == 1) != vacated {
+			t.Errorf("vacated %t: %d starts before anything was kept", vacated, got)
+		}
+		if got := bd.core.Exposed() != 0; got == vacated {
+			t.Errorf("vacated %t: exposed %t", vacated, got)
+		}
+	}
+}
+
+// A row of a cell named 91 workers of which some 30 were there, since it was written only when one came.
+func TestRowOfACellNamesNoWorkersThatAreGone(t *testing.T) {
+	bd := newBed(t, 2)
+	bd.saved = true
+	bd.core.Unregister(bd.now, "w1")
+	bd.pass(unlistedFor + time.Second)
+	bd.add("j", bedEpoch, tasks(1))
+	st := bd.wantStarts(bd.plan(), 1)[0]
+	bd.ordered(st, Done)
+	bd.pass(time.Second)
+	bd.looked(bd.nextLook(st.Worker), nil, []End{bd.end(st, EndDone)})
+	var named []Ref
+	for _, od := range bd.plan() {
+		if en, ok := od.(Enlist); ok {
+			named = en.Workers
+		}
+	}
+	if len(named) != 1 || slices.ContainsFunc(named, func(rf Ref) bool { return rf.ID == "w1" }) {
+		t.Errorf("along with the save the row names %v", named)
+	}
+}
--- a/cell/intent.go
+++ b/cell/intent.go
@@ -14,7 +14,9 @@
 	// intentFor is for how long an intent holds its room against other tasks.
 	intentFor = 3 * time.Second
 	// aheadFor is how long a task waits for room on the worker that is kept for it before another is chosen.
-	aheadFor = 1500 * time.Millisecond
+	aheadFor = 5 * time.Second
+	// aheadShare divides the room of a worker into what is planned ahead.
+	aheadShare = 2
 )
 
 // intent is where a task is to be started once that is kept.
@@ -65,23 +67,29 @@
 // intend has it kept that a task is to be started on a worker.
 func (cr *Core) intend(now time.Time, st *step, at int, cd *candidate) {
 	cr.change(st.job)
-	cr.urgentSave = true
+	// What is not known to have lost a worker shares a save with the ends of others: there are many of them after a takeover.
+	ts := &st.tasks[at]
+	cr.urgentSave = cr.urgentSave || ts.lost.total()+len(ts.lost.open) > 0
 	in := &intent{step: st, at: at, worker: cd.info.ID, gen: st.job.gen, since: now}
-	cr.forgo(&st.tasks[at])
-	st.tasks[at].intent = in
+	cr.forgo(ts)
+	ts.intent = in
 	cr.intents = append(cr.intents, in)
 }
 
 // intendAhead has it kept of tasks for which there is no room where they are to be started once there is some, so that room which becomes free
 // is not left idle for as long as a write takes. It is for tasks that are not known to have lost a worker, and plans no more for a worker than
-// that has room for in all.
+// half of its room.
 func (cr *Core) intendAhead(rd *round, st *step, members []int) {
+	var cd *candidate
 	for _, at := range members {
 		ts := &st.tasks[at]
 		if ts.place != nil || ts.intent != nil || ts.lost.total()+len(ts.lost.open) > 0 || !cr.cautious(st.job, ts) {
 			continue
 		}
-		cd := rd.leastAhead(st)
+		// The tasks of a step stay together, so that its job's row names few workers.
+		if cd == nil || !cd.fitsAhead(st.spec) {
+			cd = rd.leastAhead(st)
+		}
 		if cd == nil {
 			return
 		}
@@ -91,6 +99,11 @@
 	}
 }
 
+// fitsAhead reports whether one more task of a step may be planned ahead for a worker.
+func (cd *candidate) fitsAhead(st *job.Step) bool {
+	return cd.ahead.Plus(st.Room()).Times(aheadShare).Fits(cd.info.Room)
+}
+
 // leastAhead is the worker for which the least is planned ahead of those that may run one more task of a step; nil if there is none.
 func (rd *round) leastAhead(st *step) *candidate {
 	var best *candidate
@@ -99,7 +112,7 @@
 		if sp.Label != "" && !hasLabel(cd.info.Labels, sp.Label) || sp.DataRack != "" && cd.info.Rack != sp.DataRack || sp.SpreadLimit > 0 {
 			continue
 		}
-		if cd.ahead.Plus(sp.Room()).Fits(cd.info.Room) && (best == nil || cd.ahead.CPUMillis < best.ahead.CPUMillis) {
+		if cd.fitsAhead(sp) && (best == nil || cd.ahead.CPUMillis < best.ahead.CPUMillis) {
 			best = cd
 		}
 	}
--- a/cell/keep.go
+++ b/cell/keep.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/aspenseam/aspenseam/job"
@@ -40,7 +41,8 @@
 			}
 			pg.Failed[key] = slices.Clone(ts.failed)
 		}
-		if lost := ts.left(); lost.suspect || lost.total() > 0 || lost.ran > 0 || len(lost.open) > 0 {
+		st.keepOpen(pg, at)
+		if lost := ts.lost; lost.suspect || lost.total() > 0 || lost.ran > 0 {
 			if pg.Lost == nil {
 				pg.Lost = map[string]job.Losses{}
 			}
@@ -60,3 +62,35 @@
 		pg.Done[job.StepKey(st.run, st.at)] = bits
 	}
 }
+
+// keepOpen adds the workers on which a next owner may find a task gone.
+func (st *step) keepOpen(pg *job.Progress, at int) {
+	key := job.StepKey(st.run, st.at)
+	for _, id := range st.tasks[at].left().open {
+		if pg.Open == nil {
+			pg.Open = map[string]map[string]job.Bits{}
+		}
+		steps := pg.Open[string(id)]
+		if steps == nil {
+			steps = map[string]job.Bits{}
+			pg.Open[string(id)] = steps
+		}
+		bits := steps[key]
+		bits.Set(at)
+		steps[key] = bits
+	}
+}
+
+// restoreOpen takes the workers of which it is not known what became of tasks there.
+func (st *step) restoreOpen(pg *job.Progress) {
+	key := job.StepKey(st.run, st.at)
+	for _, id := range slices.Sorted(maps.Keys(pg.Open)) {
+		bits := pg.Open[id][key]
+		for at := range st.tasks {
+			if bits.Has(at) {
+				st.tasks[at].lost.leave(WorkerID(id))
+				st.job.abandoned = true
+			}
+		}
+	}
+}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -78,15 +78,30 @@
 			missing = true
 		}
 	}
-	if !missing {
-		return
+	if missing {
+		cr.orderEnlist()
 	}
+}
+
+func (cr *Core) orderEnlist() {
 	for _, wk := range cr.list {
 		wk.enlisting = true
 	}
+	cr.outdated = false
 	cr.order(Enlist{Workers: cr.Used(), Exposed: cr.Exposed()})
 }
 
+// tidyEvery is the least time between two writes that only take workers from the cell's row.
+const tidyEvery = time.Second
+
+// tidy takes workers that are gone from the cell's row along with a save. A next owner would have to take it that something was lost with them.
+func (cr *Core) tidy(now time.Time) {
+	if cr.outdated && now.Sub(cr.tidiedAt) >= tidyEvery {
+		cr.tidiedAt = now
+		cr.orderEnlist()
+	}
+}
+
 // EnlistFailed tells that the workers could not be named, so that it is tried again.
 func (cr *Core) EnlistFailed() {
 	for _, wk := range cr.list {
@@ -266,6 +281,7 @@
 		delete(cr.dirty, id)
 	}
 	cr.savedAt = now
+	cr.tidy(now)
 	cr.order(sv)
 }
 
--- a/cell/registry.go
+++ b/cell/registry.go
@@ -25,6 +25,22 @@
 	}
 }
 
+// MachineOf is the machine of a worker; empty if it is not known.
+func (cr *Core) MachineOf(id WorkerID) MachineID {
+	if wk, ok := cr.workers[id]; ok {
+		return wk.info.Machine
+	}
+	return ""
+}
+
+// Vacated tells that a worker has ended since its machine was moved to another pool, which is done only once nothing is left there.
+func (cr *Core) Vacated(now time.Time, id WorkerID) {
+	if _, open := cr.unresolved[id]; open {
+		cr.vacated[id] = true
+	}
+	cr.Gone(now, id)
+}
+
 const (
 	// missingAfter is how long a worker must have been silent before it is asked for elsewhere.
 	missingAfter = 500 * time.Millisecond
--- a/cell/task.go
+++ b/cell/task.go
@@ -185,7 +185,11 @@
 	if js.before == nil || js.state.Ended() {
 		return
 	}
-	for _, keys := range []iter.Seq[string]{maps.Keys(js.before.Done), maps.Keys(js.before.Failed), maps.Keys(js.before.Attempts), maps.Keys(js.before.Lost)} {
+	keySets := []iter.Seq[string]{maps.Keys(js.before.Done), maps.Keys(js.before.Failed), maps.Keys(js.before.Attempts), maps.Keys(js.before.Lost)}
+	for _, steps := range js.before.Open {
+		keySets = append(keySets, maps.Keys(steps))
+	}
+	for _, keys := range keySets {
 		for key := range keys {
 			number, _, _ := strings.Cut(key, ".")
 			at, err := strconv.Atoi(number)
@@ -268,6 +272,7 @@
 			st.done++
 		}
 	}
+	st.restoreOpen(pg)
 }
 
 // ready reports whether the steps that a step depends on are done.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -157,6 +157,7 @@
 
 // remove forgets a worker.
 func (cr *Core) remove(wk *worker) {
+	cr.outdated = true
 	delete(cr.workers, wk.info.ID)
 	cr.list = slices.DeleteFunc(slices.Clone(cr.list), func(other *worker) bool { return other == wk })
 }
@@ -295,7 +296,10 @@
 		// An owner after this one may have renewed what earlier ones started, unless this one is confirmed later than that.
 		if now.After(at) && cr.confirmed.After(at) {
 			cr.resolve(now, id, "what earlier owners started there is over")
-			cr.Expose(cr.epoch)
+			if !cr.vacated[id] {
+				cr.Expose(cr.epoch)
+			}
+			delete(cr.vacated, id)
 		}
 	}
 	for _, wk := range cr.list {
@@ -303,12 +307,17 @@
 			cr.lapse(now, wk)
 		}
 		_, open := cr.unresolved[wk.info.ID]
-		if !wk.listed && !open && len(wk.places) == 0 && !wk.lossOpen(now) && !wk.unlistedAt.IsZero() && now.Sub(wk.unlistedAt) > unlistedFor && (wk.fails > 0 || now.Sub(wk.unlistedAt) > 3*unlistedFor) {
+		if !wk.listed && !open && len(wk.places) == 0 && !wk.lossOpen(now) && !wk.unlistedAt.IsZero() && now.Sub(wk.unlistedAt) > unlistedFor && (wk.fails > 0 || wk.empty() || now.Sub(wk.unlistedAt) > 3*unlistedFor) {
 			cr.forgetWorker(now, wk)
 		}
 	}
 }
 
+// empty reports whether nothing is left on a worker, nor to be told to it.
+func (wk *worker) empty() bool {
+	return wk.fenced && len(wk.places) == 0 && len(wk.foreign) == 0 && len(wk.held) == 0
+}
+
 // forgetWorker forgets a worker that has been gone from the list for long. If it has fallen silent, it counts as lost to what it may have run.
 func (cr *Core) forgetWorker(now time.Time, wk *worker) {
 	if wk.fails > 0 {
--- a/fleet/census.go
+++ b/fleet/census.go
@@ -6,7 +6,7 @@
 
 	"github.com/aspenseam/aspenseam/cell"
 	"github.com/aspenseam/aspenseam/event"
-	"github.com/aspenseam/aspenseam/machine"
+	"github.com/aspenseam/aspenseam/job"
 	"go.uber.org/zap"
 )
 
@@ -44,13 +44,19 @@
 			ow.fl.opts.Log.Emit(event.MachinesUnlisted, zap.String("cell", ow.name), zap.Error(err))
 			continue
 		}
-		lives := map[cell.WorkerID]machine.State{}
+		lives := map[cell.WorkerID]bool{}
+		pools := map[cell.MachineID]job.PoolID{}
 		for _, mc := range list {
-			lives[mc.Worker] = mc.State
+			lives[mc.Worker], pools[mc.ID] = true, mc.Pool
 		}
 		ow.post(func(cr *cell.Core, at time.Time) {
 			for _, id := range missing {
-				if _, lives := lives[id]; !lives {
+				pool, known := pools[cr.MachineOf(id)]
+				switch {
+				case lives[id]:
+				case known && pool != ow.pool():
+					cr.Vacated(at, id)
+				default:
 					cr.Gone(at, id)
 				}
 			}
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -253,7 +253,7 @@
 	list := slices.Clone(before)
 	for _, wk := range fl.roster.of(job.PoolID(name)) {
 		if !slices.ContainsFunc(list, func(rf cell.Ref) bool { return rf.ID == wk.ID }) {
-			list = append(list, cell.Ref{ID: wk.ID, Address: wk.Address})
+			list = append(list, cell.Ref{ID: wk.ID, Address: wk.Address, Machine: wk.Machine})
 		}
 	}
 	return list
--- a/job/progress.go
+++ b/job/progress.go
@@ -25,6 +25,9 @@
 	Attempts map[string]Attempt `json:"attempts,omitempty"`
 	// Lost says of tasks which workers ended under them, by run, step and index.
 	Lost map[string]Losses `json:"lost,omitempty"`
+	// Open names the lives of workers of which it is not known what became of attempts there, with a bitmap of these tasks for each step of each
+	// run: they were about to be started there, or ran when the worker fell silent.
+	Open map[string]map[string]Bits `json:"open,omitempty"`
 }
 
 // Losses are the workers that ended while a task was on them.
@@ -36,12 +39,9 @@
 	Late bool `json:"late,omitempty"`
 	// Suspect means that the task may have caused it.
 	Suspect bool `json:"suspect,omitempty"`
-	// Open names the lives of which it is not known what became of an attempt there: it was about to be started there, or ran when the
-	// worker fell silent.
-	Open []string `json:"open,omitempty"`
 	// Ran is the longest time that a task which lasts had run when a worker ended under it and that was not laid to it.
 	Ran time.Duration `json:"ran,omitempty"`
-	// LeftOn is the one of them that rows of the former version name.
+	// LeftOn is the one life that rows of the former version name in place of open ones.
 	LeftOn string `json:"leftOn,omitempty"`
 }
 
