--- /dev/null
+++ b/cell/left.go
@@ -0,0 +1,149 @@
+package cell
+
+import (
+	"iter"
+	"slices"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// Attempts of which it is not known what became of them, since their worker fell silent or their owner is another now, and workers whose end is
+// still to be kept.
+
+// chargeLeft charges tasks that an earlier owner had left on a worker whose life has ended.
+func (cr *Core) chargeLeft(now time.Time, id WorkerID) {
+	for _, js := range cr.open {
+		for st, at := range js.openOn(id) {
+			// It may have ended well before its worker did.
+			cr.chargeOn(now, st, at, id, evidence{})
+		}
+	}
+}
+
+// chargeOn charges a task that is not placed here with the end of a worker.
+func (cr *Core) chargeOn(now time.Time, st *step, at int, id WorkerID, ev evidence) {
+	tk := job.Task{Job: st.job.spec.ID, Run: st.run, Step: st.at, Index: at}
+	cr.charge(now, &placement{task: tk, step: st, worker: &worker{info: Worker{ID: id}}, attempt: st.tasks[at].attempt}, ev)
+}
+
+// openOn goes through the tasks of a job of which it is not known what became of an attempt on a worker.
+func (js *jobState) openOn(id WorkerID) iter.Seq2[*step, int] {
+	return func(yield func(*step, int) bool) {
+		if !js.abandoned {
+			return
+		}
+		for _, rn := range js.runs {
+			for _, st := range rn.steps {
+				for at := range st.tasks {
+					if slices.Contains(st.tasks[at].lost.open, id) && !yield(st, at) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
+// clearLeft takes the worker's life as proof that no attempt which an earlier owner left there has ended it.
+func (cr *Core) clearLeft(id WorkerID) {
+	for _, js := range cr.open {
+		for st, at := range js.openOn(id) {
+			st.tasks[at].lost.close(id)
+			cr.change(js)
+		}
+	}
+}
+
+// judgeLeft judges the attempts that an earlier owner left of a job that was read just now, by what is known of their workers already.
+func (cr *Core) judgeLeft(js *jobState) {
+	for _, rn := range js.runs {
+		for _, st := range rn.steps {
+			for at := range st.tasks {
+				for _, id := range slices.Clone(st.tasks[at].lost.open) {
+					// One that no owner names any more is one whose end was kept as far as it concerned the job.
+					if wk := cr.workers[id]; wk == nil || wk.fenced && wk.fails == 0 {
+						st.tasks[at].lost.close(id)
+						cr.change(js)
+					}
+				}
+			}
+		}
+	}
+}
+
+// close notes that it is known what became of the attempt on a worker.
+func (lo *losses) close(id WorkerID) {
+	lo.open = slices.DeleteFunc(slices.Clone(lo.open), func(other WorkerID) bool { return other == id })
+}
+
+// leave notes that it is not known what became of the attempt on a worker.
+func (lo *losses) leave(id WorkerID) {
+	if !slices.Contains(lo.open, id) {
+		lo.open = append(slices.Clone(lo.open), id)
+	}
+}
+
+// noteLeft has a next owner know what was on a worker whose connections broke twice: it may have ended, and nobody else can tell what it ran.
+// After a mere reset the second call is answered.
+func (cr *Core) noteLeft(wk *worker) {
+	if !wk.abrupt || wk.fails != leftAfter {
+		return
+	}
+	for _, pl := range wk.placed {
+		cr.change(pl.step.job)
+	}
+	cr.urgentSave = true
+}
+
+// left are the workers on which a next owner may find the task gone.
+func (ts *taskState) left() losses {
+	lo := ts.lost
+	if in := ts.intent; in != nil {
+		lo.leave(in.worker)
+	}
+	if pl := ts.place; pl != nil && (pl.noted || pl.trial || pl.worker.fails >= leftAfter && pl.worker.abrupt) {
+		lo.leave(pl.worker.info.ID)
+	}
+	return lo
+}
+
+// grave is a worker whose end is still to be kept of some jobs. Until then a next owner is to look for it.
+type grave struct {
+	ref Ref
+	// jobs are those jobs, with the state from which on it is kept.
+	jobs map[*jobState]int
+}
+
+// concerned are the jobs of which something is, or may be, on a worker.
+func (cr *Core) concerned(id WorkerID, victims []*placement) []*jobState {
+	var list []*jobState
+	for _, pl := range victims {
+		list = append(list, pl.step.job)
+	}
+	for _, js := range cr.open {
+		for range js.openOn(id) {
+			list = append(list, js)
+		}
+	}
+	return list
+}
+
+// remember has the cell's row name a worker that is forgotten until what its end meant for some jobs is kept.
+func (cr *Core) remember(wk *worker, jobs []*jobState) {
+	gv := grave{ref: Ref{ID: wk.info.ID, Address: wk.info.Address, Machine: wk.info.Machine}, jobs: map[*jobState]int{}}
+	for _, js := range jobs {
+		gv.jobs[js] = js.gen
+	}
+	cr.graves = append(cr.graves, gv)
+}
+
+// unkept reports whether its end is still to be kept of a job.
+func (gv grave) unkept() bool {
+	for js, gen := range gv.jobs {
+		if js.savedGen < gen {
+			return true
+		}
+	}
+	return false
+}
