--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -18,7 +18,7 @@
   red=(-skip "^($(cut -d: -f1 KNOWN-RED.txt | paste -sd'|'))\$")
 fi
 go test -race -count=1 -timeout 40m "${red[@]}" ./...
-go test -count=1 -run 'Allocations|Overload|Waves' ./endpoint ./operator
-go test -count=1 -run 'Random' ./operator -cases 30
-go test -count=1 -run 'MemoryStays' ./proof
-go test -count=1 -run Model ./cell -steps 1000000
+go test -count=1 "${red[@]}" -run 'Allocations|Overload|Waves' ./endpoint ./operator
+go test -count=1 "${red[@]}" -run 'Random' ./operator -cases 30
+go test -count=1 "${red[@]}" -run 'MemoryStays' ./proof
+go test -count=1 "${red[@]}" -run Model ./cell -steps 1000000
