Nothing is kept ahead of room for tasks that need advice first

By reading: a task that waits for room on a worker which the advice service has not named would wait there for 5 s.

--- a/cell/exposure_test.go
+++ b/cell/exposure_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/aspenseam/aspenseam/job"
 )
 
 // A takeover found workers in the cell's row whose machines had been moved away long before. Each job of before was then started only once that
@@ -54,3 +56,44 @@
 		t.Errorf("along with the save the row names %v", named)
 	}
 }
+
+// After an exposed takeover half of the room stood idle, since each start waited for a write once there was room. What waits for room is kept
+// ahead, and starts at once when some comes; but for tasks that need advice first.
+func TestExposedTasksAreKeptAheadOfRoom(t *testing.T) {
+	for _, advised := range []bool{false, true} {
+		bd := newBed(t, 1)
+		bd.saved = true
+		qu := job.Queue{ID: "q", Pool: bedPool, MaxAttempts: 2, Stretch: 1.5, Slack: time.Second}
+		if advised {
+			qu.Advice = &job.Advice{}
+		}
+		bd.add("first", bedEpoch, tasks(4))
+		first := bd.wantStarts(bd.plan(), 4)
+		for _, st := range first {
+			bd.ordered(st, Done)
+		}
+		bd.core.Configure([]job.Queue{qu})
+		bd.core.Expose(bedEpoch)
+		bd.add("old", 1, tasks(4))
+		bd.wantStarts(bd.plan(), 0)
+		ahead := 0
+		for _, in := range bd.core.intents {
+			if in.ahead {
+				ahead++
+			}
+		}
+		// Half of the worker's room, which has place for four.
+		if want := map[bool]int{false: 2, true: 0}[advised]; ahead != want {
+			t.Errorf("advised %t: %d starts are kept ahead, want %d", advised, ahead, want)
+		}
+		bd.pass(time.Second)
+		var running []Running
+		for _, st := range first[1:] {
+			running = append(running, Running{Task: st.Task, Attempt: st.Attempt})
+		}
+		bd.looked(bd.nextLook("w0"), running, []End{bd.end(first[0], EndDone)})
+		if got := len(starts(bd.plan())); !advised && got != 1 {
+			t.Errorf("%d starts when there is room for one", got)
+		}
+	}
+}
--- a/cell/intent.go
+++ b/cell/intent.go
@@ -80,6 +80,10 @@
 // is not left idle for as long as a write takes. It is for tasks that are not known to have lost a worker, and plans no more for a worker than
 // half of its room.
 func (cr *Core) intendAhead(rd *round, st *step, members []int) {
+	if cr.queues[st.job.spec.Queue].Advice != nil {
+		// Which workers it may have is known only once the advice service has named them.
+		return
+	}
 	var cd *candidate
 	for _, at := range members {
 		ts := &st.tasks[at]
