--- a/caller/once.go
+++ b/caller/once.go
@@ -15,7 +15,7 @@
 	// askAgain is how often the owner of a claim is asked while its request runs.
 	askAgain = 50 * time.Millisecond
 	// ownerTries is how many questions in a row an owner may leave without an answer before it counts as lost; each waits 500 ms by default. Where
-	// the machines are busy one may be late: 2 of 40 callers were told unknown though their request was answered.
+	// the machines are busy one may be late, and its caller would be told unknown though the request is answered.
 	ownerTries = 3
 	// storeFor is how long the result of a claimed request is tried to be stored.
 	storeFor = time.Minute
