--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -63,8 +63,9 @@
 	specs  map[job.ID]*job.Spec
 	rows   map[job.ID]*job.Progress
 	starts map[job.Task]int
-	// again counts the starts of innocent tasks after their first.
-	again int
+	// again counts the starts of innocent tasks after their first, stopped names those that last and were stopped.
+	again   int
+	stopped []job.Task
 }
 
 type timed struct {
@@ -244,6 +245,9 @@
 		cs.started(fr, order)
 		cs.ordered(order, Done)
 	case Stop:
+		if st := cs.core.find(order.Task); st != nil && st.spec.LongRunning {
+			cs.stopped = append(cs.stopped, order.Task)
+		}
 		if fr := cs.workers[order.Worker]; fr != nil {
 			if rn := fr.runs[order.Task]; rn != nil {
 				rn.crashes, rn.how, rn.ends = false, EndStopped, cs.now.Add(crashStopped)
--- /dev/null
+++ b/cell/plague_test.go
@@ -0,0 +1,118 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// lastingJobs hands in jobs of tasks that last, of which one may be away at once.
+func (cs *crashes) lastingJobs(count int) []job.ID {
+	var ids []job.ID
+	for at := range count {
+		id := job.ID(fmt.Sprintf("lasting%d", at))
+		ids = append(ids, id)
+		cs.add(id, bedEpoch, job.Step{Count: 5, Size: job.Size{CPUMillis: 500, MemoryMB: 200}, LongRunning: true, Budgeted: true, DisruptionBudget: 1})
+	}
+	return ids
+}
+
+// In a pool of ten workers three jobs of ten had a task that ended the workers which started it. Each crash made suspects of all that had been
+// started there just before, their trials took the workers one by one, and at the end of the day 43 to 72 accepted jobs had not been started or
+// given up though most of the room was free. The pool's tasks that last had nothing to do with it: they lost four workers each, "job given up:
+// workers end under its task", and what was left of them was stopped.
+func TestEachJobBesideManyThatCrashTheirWorkersEnds(t *testing.T) {
+	for _, share := range []int{5, 30} {
+		pg := newPlagueBeside(t, share)
+		for range 400 {
+			pg.run(100 * time.Millisecond)
+			pg.count()
+			if len(pg.seen) == pg.jobs {
+				break
+			}
+		}
+		good := pg.jobs - pg.bad
+		t.Logf("%d%%: %d jobs, %d guilty, %d workers lost, %d innocent starts again, %d innocent jobs given up, %d of %d innocent jobs within 2 s, open %d after %v", share, pg.jobs, pg.bad, pg.lost, pg.again, pg.innocent, pg.inTime, good, pg.jobs-len(pg.seen), pg.now.Sub(pg.began))
+		if open := pg.jobs - len(pg.seen); open > 0 {
+			t.Errorf("%d%%: %d of %d jobs have not ended", share, open, pg.jobs)
+		}
+		if pg.innocent > 0 {
+			t.Errorf("%d%%: %d innocent jobs were given up", share, pg.innocent)
+		}
+		for _, id := range pg.lasting {
+			if got := pg.state(id); got != job.Running {
+				t.Errorf("%d%%: %s is %s", share, id, got)
+			}
+		}
+		if len(pg.stopped) > 0 {
+			t.Errorf("%d%%: tasks that last were stopped: %v", share, pg.stopped)
+		}
+	}
+}
+
+// plagueBeside is a plague in a small pool, beside tasks that last.
+type plagueBeside struct {
+	*plague
+	began   time.Time
+	lasting []job.ID
+}
+
+func newPlagueBeside(t *testing.T, share int) *plagueBeside {
+	t.Helper()
+	pg := &plague{added: map[job.ID]time.Time{}, seen: map[job.ID]bool{}}
+	pg.crashes = newCrashes(t, 10, func(tk job.Task) (time.Duration, bool) {
+		return 40 * time.Millisecond, tk.Index == 0 && pg.isBad(tk.Job)
+	})
+	pb := &plagueBeside{plague: pg, lasting: pg.lastingJobs(3), began: pg.now}
+	pg.run(6 * time.Second)
+	// Twice as many come at once for a second, then fewer, as the users' queues have it.
+	for second := range 8 {
+		perSecond := 10 + 20*(second%2)
+		for range perSecond {
+			id := job.ID(fmt.Sprintf("j%05d", pg.jobs))
+			if pg.jobs*37%100 < share {
+				id = job.ID(fmt.Sprintf("b%05d", pg.jobs))
+				pg.bad++
+			}
+			pg.jobs++
+			pg.added[id] = pg.now
+			pg.add(id, bedEpoch, tasks(10))
+			pg.run(time.Second / time.Duration(perSecond))
+			pg.count()
+		}
+	}
+	return pb
+}
+
+// A job was given up, and its tasks that ran well were stopped before its callers could see that it had failed.
+func TestTasksOfAJobThatFailedRunUntilItsEndIsKept(t *testing.T) {
+	bd := newBed(t, 2)
+	bd.add("j", bedEpoch, job.Step{Count: 2, Size: job.Size{CPUMillis: 1000, MemoryMB: 100}, LongRunning: true, Budgeted: true, DisruptionBudget: 0})
+	sts := bd.wantStarts(bd.plan(), 2)
+	for _, st := range sts {
+		bd.ordered(st, Done)
+	}
+	js := bd.core.jobs["j"]
+	bd.core.giveUp(bd.now, js.runs[0].steps[0].tasks[0].place, nil)
+	bd.core.change(js)
+	var save *Save
+	for _, od := range bd.plan() {
+		switch order := od.(type) {
+		case Stop:
+			t.Errorf("%v is stopped before the end of its job is kept", order.Task)
+		case Save:
+			save = &order
+		}
+	}
+	if save == nil {
+		t.Fatal("the end of the job is not kept")
+	}
+	bd.core.Saved(bd.now, 7)
+	stops := slices.DeleteFunc(bd.plan(), func(od Order) bool { _, ok := od.(Stop); return !ok })
+	if len(stops) != 2 {
+		t.Errorf("%d tasks are stopped once it is kept, want 2", len(stops))
+	}
+}
