Tasks of a job that failed run until its end is kept

What callers saw: tasks of a job that lasts were stopped, more than its budget allows, while the job was still shown as running. Cause: the stop followed the decision to give the job up, not the write that shows it. Why it holds: a stop for an ended job is ordered only once its end is kept, which is what callers see (TestTasksOfAJobThatFailedRunUntilItsEndIsKept).

--- a/cell/plan.go
+++ b/cell/plan.go
@@ -135,7 +135,8 @@
 	switch {
 	case js.cancelled:
 		return "cancelled"
-	case js.state.Ended():
+	case js.kept.Ended():
+		// Not before its callers see it: until then what runs is at work for them.
 		return "its job has ended"
 	case pl.step.tasks[pl.task.Index].done:
 		return "done elsewhere"
