While a queue crashes workers, tasks of one job only are new on a worker at a time

What callers saw: with three jobs of ten crashing their workers 43 to 72 accepted jobs were neither started nor given up for forty seconds though most of the room was free; innocent jobs of the same pool, among them such that last, were given up for crashes of others. Cause: each crash made suspects of all that had been started on the worker within 150 ms, of ten jobs as a rule, and each of them needed a worker to itself; the queue of suspects grew faster than trials emptied it. Tasks that last stood beside them and lost four workers each. Change: from the first such crash on, for ten seconds after the last one, the tasks that are new on a worker are of one job, and tasks that last are kept apart where half of the workers have none. What a job's tasks alone can have ended is tried next on a worker of its own, all tasks of the job together; if that one ends too, the job is given up: two crashes instead of two to three.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -111,6 +111,10 @@
 	intents []*intent
 	// exposed is the owner before which tasks may have been lost with workers that no owner saw again.
 	exposed job.Epoch
+	// plagues are the queues whose jobs have crashed workers, with until when they are taken for such. sheltered means that tasks that last are
+	// kept apart from theirs.
+	plagues   map[job.QueueID]time.Time
+	sheltered bool
 	// broken are the newest breaks of workers' connections.
 	broken []breakOff
 	// yieldTo is how many machines the pool is to have while others lack some, until yieldUntil.
@@ -141,7 +145,7 @@
 	return &Core{
 		opts: options.WithDefaults(), pool: pool, epoch: epoch,
 		queues: map[job.QueueID]job.Queue{}, jobs: map[job.ID]*jobState{}, workers: map[WorkerID]*worker{}, counters: map[WorkerName]*Token{},
-		unresolved: map[WorkerID]time.Time{}, vacated: map[WorkerID]bool{}, dirty: map[job.ID]*jobState{}, cordons: map[WorkerName]bool{}, grabbed: map[WorkerName]time.Time{}, run: runtimes{}, ledger: NewLedger(string(pool), epoch), allotments: map[job.OrganisationID]*allotment{},
+		unresolved: map[WorkerID]time.Time{}, vacated: map[WorkerID]bool{}, dirty: map[job.ID]*jobState{}, cordons: map[WorkerName]bool{}, grabbed: map[WorkerName]time.Time{}, plagues: map[job.QueueID]time.Time{}, run: runtimes{}, ledger: NewLedger(string(pool), epoch), allotments: map[job.OrganisationID]*allotment{},
 	}
 }
 
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -39,8 +39,9 @@
 	// together with others, or were about to go, so that they tell little of a cause.
 	workers []WorkerID
 	weak    int
-	// suspect means that the task may have caused one of them, late that one came a while after its start.
-	suspect, late bool
+	// suspect means that the task may have caused one of them, late that one came a while after its start, sole that one came when nothing but
+	// tasks of its job had just been started there.
+	suspect, late, sole bool
 	// ran is the longest time that a task which lasts had run when a worker ended under it and that was not laid to it.
 	ran time.Duration
 	// open are the workers of which it is not known what became of an attempt there: it lapsed, or an earlier owner left it.
@@ -53,6 +54,9 @@
 // suspected reports whether the task may have caused one.
 func (lo losses) suspected() bool { return lo.suspect || lo.number() >= lossesAlone }
 
+// alone reports whether the task is started only where nothing else is that may end the worker: what is likely to crash one more is to prove it.
+func (lo losses) alone() bool { return lo.sole || lo.number() >= lossesAlone }
+
 // total is how many there are, whatever they tell.
 func (lo losses) total() int { return len(lo.workers) + lo.weak }
 
@@ -60,8 +64,8 @@
 type evidence struct {
 	// strong means that the worker ended while the attempt ran there, and no others with it; alone that nothing else there can be the cause.
 	strong, alone bool
-	// fresh means that the attempt had just been started, prompt that it was on trial then.
-	fresh, prompt bool
+	// fresh means that the attempt had just been started, prompt that it was on trial then, sole that nothing but tasks of its job had been.
+	fresh, prompt, sole bool
 	// seen is when the worker is last known to have lived; an attempt that it had then is known to have run until then.
 	seen time.Time
 }
@@ -131,7 +135,7 @@
 	// A worker that never answered the start may have ended before it, one that only fell silent after the attempt was over.
 	// What ran for a while beside a task that had just been started is the less likely cause.
 	strong := !pl.acked.IsZero() && wk.abrupt && !doubtful && !cr.withOthers(wk, silent) && (fresh || silent.Sub(newest) > suspectWindow)
-	return evidence{strong: strong, alone: cr.alone(wk, victims, pl), fresh: fresh, prompt: fresh && pl.onTrial(), seen: wk.livedAt}
+	return evidence{strong: strong, alone: cr.alone(wk, victims, pl), fresh: fresh, prompt: fresh && pl.onTrial(), sole: soleNewcomers(victims, pl, silent), seen: wk.livedAt}
 }
 
 // victims are the attempts that a worker's end may have ended: those on it, and those that were given up while it was silent.
@@ -145,13 +149,20 @@
 	return list
 }
 
-// alone reports whether nothing but an attempt, or its gang, can have ended its worker.
+// soleNewcomers reports whether all that had just been started on a worker was of one job.
+func soleNewcomers(victims []*placement, pl *placement, silent time.Time) bool {
+	return !slices.ContainsFunc(victims, func(other *placement) bool {
+		return other.step.job != pl.step.job && silent.Sub(other.ordered) <= suspectWindow
+	})
+}
+
+// alone reports whether nothing but the tasks of a job can have ended its worker: which of them it was makes no difference to the job.
 func (cr *Core) alone(wk *worker, victims []*placement, pl *placement) bool {
 	if len(wk.foreign) > 0 {
 		return false
 	}
 	for _, other := range victims {
-		if other != pl && !(pl.step.spec.Gang && other.step == pl.step) && !other.settledIn(wk.livedAt) {
+		if other.step.job != pl.step.job && !other.settledIn(wk.livedAt) {
 			return false
 		}
 	}
@@ -207,6 +218,9 @@
 		return
 	}
 	ts.lost.add(pl.worker.info.ID, ev)
+	if ev.strong && ev.fresh && !pl.step.spec.LongRunning {
+		cr.plague(now, js.spec.Queue)
+	}
 	cr.change(js)
 	cr.urgentSave = true
 	if pl.step.spec.Gang {
@@ -230,6 +244,7 @@
 		lo.weak++
 	}
 	lo.late = lo.late || !ev.strong || !ev.fresh
+	lo.sole = lo.sole || ev.strong && ev.fresh && ev.sole
 	lo.suspect = lo.suspect || ev.strong && ev.fresh || lo.number() >= lossesAlone
 }
 
--- a/cell/intent.go
+++ b/cell/intent.go
@@ -156,14 +156,11 @@
 		}
 		if rd.now.Sub(in.since) < intentFor {
 			rd.hold(in)
-			if in.step.tasks[in.at].lost.suspected() {
-				rd.trials++
-			}
 		}
 	}
 }
 
-// hold keeps the room of an intent from other tasks; a suspect's worker is kept empty.
+// hold keeps the room of an intent from other tasks, and a suspect's worker from all but those of its job.
 func (rd *round) hold(in *intent) {
 	cd := rd.candidate(in.worker)
 	if cd == nil || in.held {
@@ -171,7 +168,7 @@
 	}
 	in.held, in.took = true, in.step.spec.Room()
 	if in.step.tasks[in.at].lost.suspected() {
-		in.took = cd.free
+		rd.keepFor(cd, in.step.job)
 	}
 	cd.free = cd.free.Minus(in.took)
 }
--- a/cell/place.go
+++ b/cell/place.go
@@ -22,6 +22,8 @@
 	weightRack = 40.0
 	// weightMix keeps tasks that take what is left from those that serve.
 	weightMix = 50.0
+	// weightPlague keeps tasks that last from workers with tasks of queues that crash workers.
+	weightPlague = 80.0
 )
 
 // place starts tasks, the most pressing jobs first.
@@ -93,6 +95,10 @@
 	free job.Size
 	// ahead is the room of what is to be started there once there is some.
 	ahead job.Size
+	// newcomers are the tasks that were started there just now, where some queue crashes workers.
+	newcomers newcomers
+	// only is the job whose suspects have the worker to themselves; nil for none.
+	only *jobState
 }
 
 // round is what one pass of placing knows.
@@ -128,6 +134,7 @@
 		rd.free = size(job.Size(rd.free).Plus(cd.free.OrNone()))
 		rd.room = size(job.Size(rd.room).Plus(cd.info.Room))
 	}
+	cr.findNewcomers(rd)
 	cr.holdIntents(rd)
 	return rd
 }
@@ -314,7 +321,7 @@
 		if !cr.allowed(now, st, cd) || !st.tasks[at].suits(now, st, cd) {
 			continue
 		}
-		if cost := cr.cost(st, at, cd); best == nil || cost < bestCost {
+		if cost := cr.cost(now, st, at, cd); best == nil || cost < bestCost {
 			best, bestCost = cd, cost
 		}
 	}
@@ -324,7 +331,7 @@
 // allowed reports whether a worker may run a task of the step.
 func (cr *Core) allowed(now time.Time, st *step, cd *candidate) bool {
 	sp := st.spec
-	if !sp.Room().Fits(cd.free) {
+	if !sp.Room().Fits(cd.free) || cd.only != nil && cd.only != st.job || !cr.apart(now, st, cd) {
 		return false
 	}
 	if sp.Label != "" && !hasLabel(cd.info.Labels, sp.Label) {
@@ -355,8 +362,19 @@
 	return count
 }
 
+// on counts the tasks of a job on a worker.
+func (js *jobState) on(wk *worker) int {
+	count := 0
+	for _, pl := range wk.placed {
+		if pl.step.job == js {
+			count++
+		}
+	}
+	return count
+}
+
 // cost ranks a worker for a task.
-func (cr *Core) cost(st *step, at int, cd *candidate) float64 {
+func (cr *Core) cost(now time.Time, st *step, at int, cd *candidate) float64 {
 	sp := st.spec
 	cost := weightFree * share(cd.free.CPUMillis, cd.info.Room.CPUMillis)
 	if sp.DataRack != "" && cd.info.Rack != sp.DataRack {
@@ -366,12 +384,16 @@
 		cost += weightAvoid
 	}
 	if st.tasks[at].lost.suspected() {
-		cost += weightCompany * float64(len(cd.placed))
+		// Those of its own job are under the same suspicion.
+		cost += weightCompany * float64(len(cd.placed)-2*st.job.on(cd.worker))
 	}
 	if sp.LongRunning {
 		if cd.lasting > 0 {
 			cost -= weightLasting
 		}
+		if cr.beside(now, cd.worker) > 0 {
+			cost += weightPlague
+		}
 		if 2*cr.onRack(st, cd.info.Rack) >= len(st.tasks) {
 			cost += weightRack
 		}
@@ -414,6 +436,9 @@
 	ts.place = pl
 	wk.put(pl)
 	cr.window.underWay++
+	if len(cr.plagues) > 0 {
+		cd.newcomers.join(cr, now, now, st.job)
+	}
 	cd.free = cd.free.Minus(pl.room)
 	st.job.begun = true
 	wk.busyAt = now
--- /dev/null
+++ b/cell/plague.go
@@ -0,0 +1,103 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// Queues some of whose jobs crash workers. While that goes on, tasks of one job only are started on a worker at a time, so that the next crash
+// tells whose it is, and tasks that last are kept apart from them.
+const (
+	// plagueFor is how long after a worker ended under tasks that had just been started their queues are taken for such ones.
+	plagueFor = 10 * time.Second
+	// shelterShare is the part of the usable workers that must be free of tasks that last for the others to be kept from short tasks of such
+	// queues.
+	shelterShare = 0.5
+)
+
+// plague notes that a worker ended right after tasks of a queue had been started there.
+func (cr *Core) plague(now time.Time, queue job.QueueID) {
+	cr.plagues[queue] = now.Add(plagueFor)
+}
+
+// plagued reports whether jobs of a queue have crashed workers of late.
+func (cr *Core) plagued(now time.Time, queue job.QueueID) bool { return now.Before(cr.plagues[queue]) }
+
+// endPlagues forgets queues that have crashed none for a while.
+func (cr *Core) endPlagues(now time.Time) {
+	for queue, until := range cr.plagues {
+		if !now.Before(until) {
+			delete(cr.plagues, queue)
+		}
+	}
+}
+
+// newcomers are the tasks that were started on a worker so lately that they would be under suspicion if it ended now.
+type newcomers struct {
+	// job is theirs; mixed means that they are of several.
+	job   *jobState
+	mixed bool
+	// plagued means that one of them is of a queue that crashes workers, until when the last of them is new.
+	plagued bool
+	until   time.Time
+}
+
+// join adds a task that is started now.
+func (nc *newcomers) join(cr *Core, now, started time.Time, js *jobState) {
+	nc.mixed = nc.mixed || nc.job != nil && nc.job != js
+	nc.job = js
+	nc.plagued = nc.plagued || cr.plagued(now, js.spec.Queue)
+	nc.until = latest(nc.until, started.Add(suspectWindow))
+}
+
+// findNewcomers looks for the newcomers of all workers, as long as some queue crashes workers, and for shelter for tasks that last.
+func (cr *Core) findNewcomers(rd *round) {
+	cr.endPlagues(rd.now)
+	if len(cr.plagues) == 0 {
+		return
+	}
+	open := 0
+	for _, cd := range rd.usable {
+		for at := len(cd.placed) - 1; at >= 0; at-- {
+			if pl := cd.placed[at]; rd.now.Sub(pl.ordered) <= suspectWindow {
+				cd.newcomers.join(cr, rd.now, pl.ordered, pl.step.job)
+			}
+		}
+		if cd.lasting == 0 {
+			open++
+		}
+	}
+	cr.sheltered = float64(open) >= shelterShare*float64(len(rd.usable))
+}
+
+// apart reports whether a task may join the newcomers of a worker: those of another job only if neither's queue crashes workers; and whether
+// it keeps away from tasks that last.
+func (cr *Core) apart(now time.Time, st *step, cd *candidate) bool {
+	if len(cr.plagues) == 0 {
+		return true
+	}
+	plagued := cr.plagued(now, st.job.spec.Queue) && !st.spec.LongRunning
+	if plagued && cr.sheltered && cd.lasting > 0 {
+		return false
+	}
+	if nc := &cd.newcomers; nc.job != nil && (nc.mixed || nc.job != st.job) && (plagued || nc.plagued) {
+		cr.wakeAt(nc.until)
+		return false
+	}
+	return true
+}
+
+// beside counts the short tasks on a worker whose queues crash workers.
+func (cr *Core) beside(now time.Time, wk *worker) int {
+	if len(cr.plagues) == 0 {
+		return 0
+	}
+	count := 0
+	for _, pl := range wk.placed {
+		if !pl.step.spec.LongRunning && cr.plagued(now, pl.step.job.spec.Queue) {
+			count++
+		}
+	}
+	return count
+}
--- a/cell/trial.go
+++ b/cell/trial.go
@@ -98,10 +98,7 @@
 		if !cr.window.open() || cr.yields(rd, st.job) || !cr.mayStart(st, 1) {
 			return false
 		}
-		if in := st.tasks[at].intent; in != nil && in.held {
-			// It has its place among the trials already.
-			rd.trials--
-		} else if rd.trials >= rd.trialsMost() || st.onTrial() >= trialsStep {
+		if in := st.tasks[at].intent; (in == nil || !in.held) && (rd.trials >= rd.trialsMost() || st.onTrial() >= trialsStep) && !rd.keeps(st.job) {
 			rd.untried = rd.untried || st.onTrial() < trialsStep
 			all = false
 			continue
@@ -111,7 +108,7 @@
 			cr.empty(rd, st, len(waiting)-count)
 			return false
 		}
-		rd.trials++
+		rd.keepFor(cd, st.job)
 		if !cr.kept(rd, st, at, cd) {
 			rd.hold(st.tasks[at].intent)
 			all = false
@@ -119,11 +116,23 @@
 		}
 		cr.start(rd.now, st, at, cd, st.tasks[at].attempt+1)
 		rd.free = size(job.Size(rd.free).Minus(st.spec.Room()))
-		cd.free = job.Size{}
 	}
 	return all
 }
 
+// keepFor keeps a worker from tasks of all jobs but one, for the rest of the round.
+func (rd *round) keepFor(cd *candidate, js *jobState) {
+	if cd.only != js {
+		cd.only = js
+		rd.trials++
+	}
+}
+
+// keeps reports whether a worker is kept for a job that has room for one more of its suspects.
+func (rd *round) keeps(js *jobState) bool {
+	return slices.ContainsFunc(rd.usable, func(cd *candidate) bool { return cd.only == js })
+}
+
 // trialsMost is how many suspects may have a worker to themselves at once.
 func (rd *round) trialsMost() int {
 	share := trialShare
@@ -134,16 +143,22 @@
 	return max(1, int(share*float64(len(rd.usable)+rd.taken)))
 }
 
-// onTrial counts the tasks of a step that are on trial, or about to be.
+// onTrial counts the workers on which tasks of a step are on trial, or about to be.
 func (st *step) onTrial() int {
-	count := 0
+	var ids []WorkerID
 	for at := range st.tasks {
 		ts := &st.tasks[at]
-		if pl := ts.place; pl != nil && pl.onTrial() || ts.intent != nil && ts.intent.held && ts.lost.suspected() {
-			count++
+		id := WorkerID("")
+		if pl := ts.place; pl != nil && pl.onTrial() {
+			id = pl.worker.info.ID
+		} else if ts.intent != nil && ts.intent.held && ts.lost.suspected() {
+			id = ts.intent.worker
+		}
+		if id != "" && !slices.Contains(ids, id) {
+			ids = append(ids, id)
 		}
 	}
-	return count
+	return len(ids)
 }
 
 // empty keeps the workers with the least on them free of other tasks until suspects that need one to themselves find it empty.
@@ -169,9 +184,9 @@
 	}
 	for _, other := range cd.placed {
 		switch {
-		case st.spec.Gang && other.step == st:
+		case other.step.job == st.job && (st.spec.Gang || other.onTrial()):
 		case other.lastsFor(now, lastingYoung):
-		case ts.lost.number() >= lossesAlone:
+		case ts.lost.alone():
 			return false
 		case other.phase != running || other.acked.IsZero() || now.Sub(other.acked) < probation:
 			return false
