What is as good as known to crash a worker is tried on few at a time

Cause: jobs that had ended a worker alone took up to a quarter of the workers for their second trial at once, each of which was then down for seconds.

--- a/cell/trial.go
+++ b/cell/trial.go
@@ -18,6 +18,8 @@
 	trialShare = 0.25
 	// trialSpare is the part that they may have where nothing else is to be started, so that workers do not stand idle while suspects wait.
 	trialSpare = 0.75
+	// trialSole is the part that they may have of which it is as good as known that they will end the next one, too.
+	trialSole = 0.1
 	// trialsStep is how many tasks of one step may be on trial at once: where all of them crash their workers, two losses are enough to know.
 	trialsStep = 2
 	// weightCompany keeps suspects from workers with other tasks; it only ranks.
@@ -98,7 +100,7 @@
 		if !cr.window.open() || cr.yields(rd, st.job) || !cr.mayStart(st, 1) {
 			return false
 		}
-		if in := st.tasks[at].intent; (in == nil || !in.held) && (rd.trials >= rd.trialsMost() || st.onTrial() >= trialsStep) && !rd.keeps(st.job) {
+		if in := st.tasks[at].intent; (in == nil || !in.held) && (rd.trials >= rd.trialsMost(st.tasks[at].lost) || st.onTrial() >= trialsStep) && !rd.keeps(st.job) {
 			rd.untried = rd.untried || st.onTrial() < trialsStep
 			all = false
 			continue
@@ -134,10 +136,13 @@
 }
 
 // trialsMost is how many suspects may have a worker to themselves at once.
-func (rd *round) trialsMost() int {
+func (rd *round) trialsMost(lo losses) int {
 	share := trialShare
-	if rd.spare {
+	switch {
+	case rd.spare:
 		share = trialSpare
+	case lo.sole:
+		share = trialSole
 	}
 	// Those that suspects have are not among the usable ones.
 	return max(1, int(share*float64(len(rd.usable)+rd.taken)))
@@ -164,7 +169,7 @@
 // empty keeps the workers with the least on them free of other tasks until suspects that need one to themselves find it empty.
 func (cr *Core) empty(rd *round, st *step, count int) {
 	for range min(count, trialsStep) {
-		if rd.trials >= rd.trialsMost() {
+		if rd.trials >= rd.trialsMost(losses{}) {
 			return
 		}
 		cd := cr.roomiest(rd, st)
