Tasks that last have workers of their own while a queue crashes workers

Cause: they were kept apart only where half of the workers had none of them; as suspects they were spread over more, until nothing kept them apart, and four losses gave their jobs up. Change: the workers with the most of them are for them alone, up to half, and they wait for room there.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -111,10 +111,10 @@
 	intents []*intent
 	// exposed is the owner before which tasks may have been lost with workers that no owner saw again.
 	exposed job.Epoch
-	// plagues are the queues whose jobs have crashed workers, with until when they are taken for such. sheltered means that tasks that last are
-	// kept apart from theirs.
-	plagues   map[job.QueueID]time.Time
-	sheltered bool
+	// plagues are the queues whose jobs have crashed workers, with until when they are taken for such. shelterRoom is the most that one of
+	// the workers has for tasks that last which are kept from them meanwhile.
+	plagues     map[job.QueueID]time.Time
+	shelterRoom job.Size
 	// broken are the newest breaks of workers' connections.
 	broken []breakOff
 	// yieldTo is how many machines the pool is to have while others lack some, until yieldUntil.
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -62,7 +62,7 @@
 				continue
 			}
 			intended := st.tasks[at].intent != nil && st.tasks[at].intent.worker == cd.info.ID
-			if best == nil || intended || cr.cost(now, st, at, cd) < cr.cost(now, st, at, best) {
+			if best == nil || intended || cr.cost(st, at, cd) < cr.cost(st, at, best) {
 				best, bestAt = cd, slot
 			}
 			if intended {
--- a/cell/place.go
+++ b/cell/place.go
@@ -22,8 +22,6 @@
 	weightRack = 40.0
 	// weightMix keeps tasks that take what is left from those that serve.
 	weightMix = 50.0
-	// weightPlague keeps tasks that last from workers with tasks of queues that crash workers.
-	weightPlague = 80.0
 )
 
 // place starts tasks, the most pressing jobs first.
@@ -99,6 +97,8 @@
 	newcomers newcomers
 	// only is the job whose suspects have the worker to themselves; nil for none.
 	only *jobState
+	// shelter means that it is for tasks that last.
+	shelter bool
 }
 
 // round is what one pass of placing knows.
@@ -321,7 +321,7 @@
 		if !cr.allowed(now, st, cd) || !st.tasks[at].suits(now, st, cd) {
 			continue
 		}
-		if cost := cr.cost(now, st, at, cd); best == nil || cost < bestCost {
+		if cost := cr.cost(st, at, cd); best == nil || cost < bestCost {
 			best, bestCost = cd, cost
 		}
 	}
@@ -374,7 +374,7 @@
 }
 
 // cost ranks a worker for a task.
-func (cr *Core) cost(now time.Time, st *step, at int, cd *candidate) float64 {
+func (cr *Core) cost(st *step, at int, cd *candidate) float64 {
 	sp := st.spec
 	cost := weightFree * share(cd.free.CPUMillis, cd.info.Room.CPUMillis)
 	if sp.DataRack != "" && cd.info.Rack != sp.DataRack {
@@ -391,9 +391,6 @@
 		if cd.lasting > 0 {
 			cost -= weightLasting
 		}
-		if cr.beside(now, cd.worker) > 0 {
-			cost += weightPlague
-		}
 		if 2*cr.onRack(st, cd.info.Rack) >= len(st.tasks) {
 			cost += weightRack
 		}
--- a/cell/plague.go
+++ b/cell/plague.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/aspenseam/aspenseam/job"
@@ -11,8 +13,7 @@
 const (
 	// plagueFor is how long after a worker ended under tasks that had just been started their queues are taken for such ones.
 	plagueFor = 10 * time.Second
-	// shelterShare is the part of the usable workers that must be free of tasks that last for the others to be kept from short tasks of such
-	// queues.
+	// shelterShare is the most of the usable workers that are for tasks that last alone meanwhile.
 	shelterShare = 0.5
 )
 
@@ -54,21 +55,50 @@
 // findNewcomers looks for the newcomers of all workers, as long as some queue crashes workers, and for shelter for tasks that last.
 func (cr *Core) findNewcomers(rd *round) {
 	cr.endPlagues(rd.now)
+	cr.shelterRoom = job.Size{}
 	if len(cr.plagues) == 0 {
 		return
 	}
-	open := 0
 	for _, cd := range rd.usable {
-		for at := len(cd.placed) - 1; at >= 0; at-- {
-			if pl := cd.placed[at]; rd.now.Sub(pl.ordered) <= suspectWindow {
+		for _, pl := range cd.placed {
+			if rd.now.Sub(pl.ordered) <= suspectWindow {
 				cd.newcomers.join(cr, rd.now, pl.ordered, pl.step.job)
 			}
 		}
-		if cd.lasting == 0 {
-			open++
+	}
+	if slices.ContainsFunc(cr.open, func(js *jobState) bool { return !js.ended() && js.spec.Steps[0].LongRunning }) {
+		cr.findShelter(rd)
+	}
+}
+
+// findShelter chooses the workers that are for tasks that last alone: those with the most of them.
+func (cr *Core) findShelter(rd *round) {
+	if len(rd.usable) == 0 {
+		return
+	}
+	list := slices.Clone(rd.usable)
+	slices.SortStableFunc(list, func(one, other *candidate) int {
+		return cmp.Or(-cmp.Compare(one.lasting, other.lasting), cmp.Compare(len(one.placed), len(other.placed)))
+	})
+	lasting := 0
+	for _, cd := range list {
+		if cd.lasting > 0 {
+			lasting++
+		}
+	}
+	// One worker alone is for all.
+	for _, cd := range list[:min(len(list)-1, max(1, min(lasting, int(shelterShare*float64(len(list))))))] {
+		cd.shelter = true
+		room := cd.info.Room
+		for _, pl := range cd.placed {
+			if pl.step.spec.LongRunning {
+				room = room.Minus(pl.room)
+			}
+		}
+		if cr.shelterRoom.Fits(room) {
+			cr.shelterRoom = room
 		}
 	}
-	cr.sheltered = float64(open) >= shelterShare*float64(len(rd.usable))
 }
 
 // apart reports whether a task may join the newcomers of a worker: those of another job only if neither's queue crashes workers; and whether
@@ -78,7 +108,11 @@
 		return true
 	}
 	plagued := cr.plagued(now, st.job.spec.Queue) && !st.spec.LongRunning
-	if plagued && cr.sheltered && cd.lasting > 0 {
+	if plagued && cd.shelter {
+		return false
+	}
+	if sp := st.spec; sp.LongRunning && !cd.shelter && sp.SpreadLimit == 0 && sp.Room().Fits(cr.shelterRoom) {
+		// It waits for what is short and ends there.
 		return false
 	}
 	if nc := &cd.newcomers; nc.job != nil && (nc.mixed || nc.job != st.job) && (plagued || nc.plagued) {
@@ -87,17 +121,3 @@
 	}
 	return true
 }
-
-// beside counts the short tasks on a worker whose queues crash workers.
-func (cr *Core) beside(now time.Time, wk *worker) int {
-	if len(cr.plagues) == 0 {
-		return 0
-	}
-	count := 0
-	for _, pl := range wk.placed {
-		if !pl.step.spec.LongRunning && cr.plagued(now, pl.step.job.spec.Queue) {
-			count++
-		}
-	}
-	return count
-}
--- a/cell/plague_test.go
+++ b/cell/plague_test.go
@@ -25,7 +25,7 @@
 // given up though most of the room was free. The pool's tasks that last had nothing to do with it: they lost four workers each, "job given up:
 // workers end under its task", and what was left of them was stopped.
 func TestEachJobBesideManyThatCrashTheirWorkersEnds(t *testing.T) {
-	for _, share := range []int{5, 30} {
+	for _, share := range []int{5, 25, 30, 40} {
 		pg := newPlagueBeside(t, share)
 		for range 400 {
 			pg.run(100 * time.Millisecond)
--- a/cell/trial.go
+++ b/cell/trial.go
@@ -190,6 +190,7 @@
 	for _, other := range cd.placed {
 		switch {
 		case other.step.job == st.job && (st.spec.Gang || other.onTrial()):
+			// They are under the same suspicion.
 		case other.lastsFor(now, lastingYoung):
 		case ts.lost.alone():
 			return false
