--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -767,6 +767,14 @@
 	}
 }
 
+// A start had no answer, the list of machines told that its worker had ended, and the task was started elsewhere; the worker came back under its
+// name and carried the first start out.
+func TestModelOfLivesOfSeedsThatFailed(t *testing.T) {
+	for _, seed := range []int64{400019, 600070} {
+		playModel(t, seed, newModel(seed, true))
+	}
+}
+
 // Jobs that lost workers four times over were given up though fewer than two had crashed under them: attempts that had ended unread, or that
 // were kept and never ordered since their owner was replaced in that moment, count as losses.
 func TestModelGivesUpForCrashesAlone(t *testing.T) {
