A task whose start had no answer waits until no next life can carry it out

What callers saw: by the model, a task running twice at once. Cause: the list of machines told that a worker had ended, and its tasks were started elsewhere, a start without an answer among them. The worker came back under its name, knew no token yet, and carried that start out. Before workers kept their names the next life refused it. Change: such a task waits until a life under the name has seen a higher token, by a look or by the greeting of a connection, or until 12 s after the start. Other tasks, and workers whose lives have names of their own, wait for nothing. Why it holds: whoever has seen the higher token refuses the start for good.

--- a/cell/answer.go
+++ b/cell/answer.go
@@ -35,7 +35,7 @@
 	}
 	wk.tick(od.Clock, od.Received)
 	if od.Outcome == Dead {
-		cr.bury(now, wk, "another life answers")
+		cr.bury(now, wk, "another life answers", order.Token)
 		return
 	}
 	pl := wk.places[order.Task]
@@ -107,7 +107,7 @@
 	wk.tick(od.Clock, od.Received)
 	switch od.Outcome {
 	case Dead:
-		cr.bury(now, wk, "another life answers")
+		cr.bury(now, wk, "another life answers", order.Token)
 	case Overtaken:
 		cr.overtaken(wk, order.Token)
 	case Done:
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -103,6 +103,8 @@
 	// outdated means that the cell's row names workers that are gone; tidiedAt is when such were last taken from it.
 	outdated bool
 	tidiedAt time.Time
+	// strays are the starts without an answer that the next lives of their workers may carry out.
+	strays []*stray
 	// vacated are workers of earlier owners on which nothing was left when they ended.
 	vacated map[WorkerID]bool
 	// graves are workers whose end is still to be kept.
--- a/cell/life.go
+++ b/cell/life.go
@@ -1,8 +1,10 @@
 package cell
 
 import (
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 const (
@@ -10,6 +12,8 @@
 	lifeMark = "~"
 	// lifeBase is the base of that number, so that rows and messages, which name many lives, stay short.
 	lifeBase = 36
+	// strayFor is for how long after it was given an order without an answer may be carried out; the users' pages say seconds.
+	strayFor = 12 * time.Second
 )
 
 // LifeOf names a life of a worker by when it began, in milliseconds since 1970; 0 where that is not told and each life has a name of its own.
@@ -82,3 +86,45 @@
 	*counter++
 	return counter
 }
+
+// stray is a start that had no answer before its worker's life was over. The next life under the name knows nothing that would make it void.
+type stray struct {
+	name  WorkerName
+	token Token
+	task  *taskState
+	job   *jobState
+	until time.Time
+}
+
+// astray keeps a task whose start had no answer from being started elsewhere until no life of the worker can carry that start out any more.
+func (cr *Core) astray(now time.Time, pl *placement) {
+	until := pl.ordered.Add(strayFor)
+	if !pl.acked.IsZero() || !pl.worker.info.ID.returns() || !now.Before(until) {
+		return
+	}
+	sy := &stray{name: pl.worker.name, token: pl.token, task: &pl.step.tasks[pl.task.Index], job: pl.step.job, until: until}
+	sy.task.stray = sy
+	cr.strays = append(cr.strays, sy)
+	for _, wk := range cr.lives(sy.name) {
+		if wk != pl.worker && wk.fenced {
+			cr.settleStrays(sy.name, cr.token(wk))
+		}
+	}
+}
+
+// settleStrays lets the tasks go on whose stray starts are void, since a life under the name has seen a higher token.
+func (cr *Core) settleStrays(name WorkerName, seen Token) {
+	if len(cr.strays) == 0 {
+		return
+	}
+	cr.strays = slices.DeleteFunc(cr.strays, func(sy *stray) bool {
+		if sy.task.stray != sy || sy.job.ended() {
+			return true
+		}
+		if sy.name != name || sy.token >= seen {
+			return false
+		}
+		sy.task.stray, sy.job.settled = nil, false
+		return true
+	})
+}
--- a/cell/look.go
+++ b/cell/look.go
@@ -22,7 +22,7 @@
 	case Done:
 		cr.sawWorker(now, wk, lk)
 	case Dead:
-		cr.bury(now, wk, "another life answers")
+		cr.bury(now, wk, "another life answers", lk.Token)
 	case Overtaken:
 		if !cr.overtaken(wk, lk.Token) {
 			wk.nextLook = now
@@ -63,6 +63,7 @@
 	if lk.Token == cr.token(wk) {
 		wk.doubtful = false
 	}
+	cr.settleStrays(wk.name, lk.Token)
 	listed := make(map[job.Task]*Running, len(lk.Running))
 	for at := range lk.Running {
 		listed[lk.Running[at].Task] = &lk.Running[at]
--- a/cell/place.go
+++ b/cell/place.go
@@ -249,6 +249,11 @@
 			held = true
 			continue
 		}
+		if ts.stray != nil && ts.stray.until.After(now) {
+			cr.wakeAt(ts.stray.until)
+			held = true
+			continue
+		}
 		if ts.lost.suspected() && !st.spec.Gang {
 			suspects = append(suspects, at)
 			continue
--- a/cell/registry.go
+++ b/cell/registry.go
@@ -21,7 +21,7 @@
 // Gone tells that a life of a worker has ended for certain: its machine runs another or none.
 func (cr *Core) Gone(now time.Time, id WorkerID) {
 	if wk, ok := cr.workers[id]; ok {
-		cr.bury(now, wk, "its machine says so")
+		cr.bury(now, wk, "its machine says so", 0)
 	}
 }
 
--- a/cell/task.go
+++ b/cell/task.go
@@ -94,6 +94,8 @@
 	intent     *intent
 	// lostAt is when it was lost with its worker. It is started again once the ownership is confirmed later than that.
 	lostAt time.Time
+	// stray is a start that the next life of its worker may still carry out; nil for none.
+	stray *stray
 	// avoid is a worker on which it failed or was refused.
 	avoid WorkerID
 	// awayFrom is when a task that lasts was last at work.
--- a/cell/vacate.go
+++ b/cell/vacate.go
@@ -132,7 +132,7 @@
 	wk.tick(od.Clock, od.Received)
 	switch od.Outcome {
 	case Dead:
-		cr.bury(now, wk, "another life answers")
+		cr.bury(now, wk, "another life answers", order.Token)
 	case Overtaken:
 		cr.overtaken(wk, order.Token)
 	case Done:
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -273,16 +273,19 @@
 	cr.opts.Log(Decision{What: "attempt over", Task: pl.task, Attempt: pl.attempt, Worker: pl.worker.info.ID, Token: pl.token, Why: why, Age: now.Sub(pl.worker.lookedAt)})
 }
 
-// bury forgets a worker whose life has ended: nothing runs there any more.
-func (cr *Core) bury(now time.Time, wk *worker, why string) {
+// bury forgets a worker whose life has ended: nothing runs there any more. seen is the token that a later life under the name has seen, 0 if none
+// has answered.
+func (cr *Core) bury(now time.Time, wk *worker, why string, seen Token) {
 	cr.opts.Log(Decision{What: "worker gone", Worker: wk.info.ID, Why: why, Age: now.Sub(wk.lookedAt)})
 	cr.chargeLoss(now, wk, why, true)
 	for _, pl := range wk.placed {
 		// Another owner may have taken note of its end before the worker went.
 		pl.step.tasks[pl.task.Index].lostAt = now
 		cr.release(now, pl, "its worker is gone")
+		cr.astray(now, pl)
 	}
 	cr.remove(wk)
+	cr.settleStrays(wk.name, seen)
 	if at, open := cr.unresolved[wk.info.ID]; open && now.Before(at) {
 		// What earlier owners started there is over. A later owner may have taken note of its end, so this one waits to be confirmed.
 		cr.unresolved[wk.info.ID] = now
@@ -339,6 +342,7 @@
 	wk.lapsed = append(wk.lapsed, wk.placed...)
 	for _, pl := range wk.placed {
 		cr.release(now, pl, "its lease has run out")
+		cr.astray(now, pl)
 		pl.step.tasks[pl.task.Index].lost.leave(wk.info.ID)
 		pl.step.job.abandoned = true
 		cr.change(pl.step.job)
