A queue that crashes workers leaves machines to other pools, and is sized by turns

Cause: with one new job on each worker at a time none of the pool's workers became idle, so that a pool with 190 open jobs had six machines beside one of twenty that needed eight; and the pool asked for the room that its tasks take, while each of its jobs needs a turn on a worker.

--- a/cell/load.go
+++ b/cell/load.go
@@ -128,6 +128,9 @@
 		}
 		work += part * float64(left) * mean
 	}
+	if work > 0 && cr.plagued(now, js.spec.Queue) {
+		sum += turnTime.Seconds() / turnWithin.Seconds()
+	}
 	chain := time.Duration(max(1, js.stepsLeft)) * known.task
 	return sum + work/max(windowLeast, chain+cr.leisure(now, js)).Seconds()
 }
--- a/cell/place.go
+++ b/cell/place.go
@@ -97,8 +97,8 @@
 	newcomers newcomers
 	// only is the job whose suspects have the worker to themselves; nil for none.
 	only *jobState
-	// shelter means that it is for tasks that last.
-	shelter bool
+	// shelter means that it is for tasks that last, given that its machine is wanted elsewhere: tasks of queues that crash workers stay away.
+	shelter, given bool
 }
 
 // round is what one pass of placing knows.
--- a/cell/plague.go
+++ b/cell/plague.go
@@ -15,6 +15,12 @@
 	plagueFor = 10 * time.Second
 	// shelterShare is the most of the usable workers that are for tasks that last alone meanwhile.
 	shelterShare = 0.5
+	// turnTime is how long a job of such a queue has a worker's starts, or a worker, to itself; turnWithin within which time each is to have had
+	// its turn, by which the pool is sized: the room that its tasks take is the least of what it wants.
+	turnTime   = 500 * time.Millisecond
+	turnWithin = 4 * time.Second
+	// givenLeast is how many workers such queues keep though other pools lack machines.
+	givenLeast = 8
 )
 
 // plague notes that a worker ended right after tasks of a queue had been started there.
@@ -69,6 +75,21 @@
 	if slices.ContainsFunc(cr.open, func(js *jobState) bool { return !js.ended() && js.spec.Steps[0].LongRunning }) {
 		cr.findShelter(rd)
 	}
+	cr.findGiven(rd)
+}
+
+// findGiven chooses the workers that are to become idle, since other pools lack machines: those with the least on them. One job at a time on each
+// keeps all of them half empty otherwise, and none idle.
+func (cr *Core) findGiven(rd *round) {
+	keep := max(givenLeast, cr.yieldTo)
+	if !rd.now.Before(cr.yieldUntil) || len(rd.usable) <= keep {
+		return
+	}
+	list := slices.Clone(rd.usable)
+	slices.SortStableFunc(list, func(one, other *candidate) int { return -cmp.Compare(len(one.placed), len(other.placed)) })
+	for _, cd := range list[keep:] {
+		cd.given = true
+	}
 }
 
 // findShelter chooses the workers that are for tasks that last alone: those with the most of them.
@@ -108,7 +129,7 @@
 		return true
 	}
 	plagued := cr.plagued(now, st.job.spec.Queue) && !st.spec.LongRunning
-	if plagued && cd.shelter {
+	if plagued && (cd.shelter || cd.given) {
 		return false
 	}
 	if sp := st.spec; sp.LongRunning && !cd.shelter && sp.SpreadLimit == 0 && sp.Room().Fits(cr.shelterRoom) {
--- a/cell/plague_test.go
+++ b/cell/plague_test.go
@@ -116,3 +116,38 @@
 		t.Errorf("%d tasks are stopped once it is kept, want 2", len(stops))
 	}
 }
+
+// Tasks of a queue that crashed workers stood one job on each of the pool's twenty workers, so that none became idle while another pool had six for
+// 190 open jobs; and once it had few, the pool asked for the room of its tasks alone, though each job needs a turn on a worker.
+func TestQueueThatCrashesWorkersLeavesMachinesToOthers(t *testing.T) {
+	cs := newCrashes(t, 20, func(job.Task) (time.Duration, bool) { return 0, false })
+	cs.core.plague(cs.now, "q")
+	for at := range 40 {
+		cs.add(job.ID(fmt.Sprintf("j%02d", at)), bedEpoch, tasks(4))
+	}
+	used := func() int {
+		count := 0
+		for _, fr := range cs.workers {
+			if len(fr.runs) > 0 {
+				count++
+			}
+		}
+		return count
+	}
+	cs.core.Yield(cs.now, 3, false)
+	cs.run(crashTick)
+	if got := used(); got == 0 || got > givenLeast {
+		t.Errorf("%d workers have tasks while other pools lack machines, want %d at most", got, givenLeast)
+	}
+	if got, least := cs.core.Load(cs.now).Needed, 40*turnTime.Seconds()/turnWithin.Seconds(); got < least {
+		t.Errorf("the pool wants %.1f machines for 40 jobs, want %.1f at least", got, least)
+	}
+	cs.run(yieldFor)
+	for at := range 40 {
+		cs.add(job.ID(fmt.Sprintf("k%02d", at)), bedEpoch, tasks(4))
+	}
+	cs.run(2 * crashTick)
+	if got := used(); got <= givenLeast {
+		t.Errorf("%d workers have tasks once no pool lacks machines", got)
+	}
+}
