--- a/cell/plague.go
+++ b/cell/plague.go
@@ -58,7 +58,8 @@
 	nc.until = latest(nc.until, started.Add(suspectWindow))
 }
 
-// findNewcomers looks for the newcomers of all workers, as long as some queue crashes workers, and for shelter for tasks that last.
+// findNewcomers looks for the newcomers of all workers, as long as some queue crashes workers, for shelter for tasks that last, and for workers to
+// give away.
 func (cr *Core) findNewcomers(rd *round) {
 	cr.endPlagues(rd.now)
 	cr.shelterRoom = job.Size{}
@@ -122,8 +123,8 @@
 	}
 }
 
-// apart reports whether a task may join the newcomers of a worker: those of another job only if neither's queue crashes workers; and whether
-// it keeps away from tasks that last.
+// apart reports whether a task may be started on a worker while queues crash workers: not beside newcomers of another job if the queue of either
+// does, nor where it would be kept from tasks that last or from machines that other pools lack.
 func (cr *Core) apart(now time.Time, st *step, cd *candidate) bool {
 	if len(cr.plagues) == 0 {
 		return true
