A successor waits for the next life of a worker that ended before it starts what may run there

What callers would see: a task that runs on two workers at once.

Cause: a new owner looked for what its predecessor had started by life. A life that had ended was resolved at once, although the next life under its name may carry out, or have carried out, a start that was ordered of it. The former owner knew of the open start and waited; its successor was not told.

Change: a departed life is resolved by an answer of a later life under the name, or with time; the cell's row names such lives until then, with Ended. The own wait of an owner had the same hole (12 s after the order a silent next life may have just begun) and is mended with it.

TestNextLifeIsLookedAtBeforeASuccessorStartsWhatTheFormerMayHave failed before ("1 tasks start while the next life may be at them"), as did TestSuccessorIsToldOfStartsThatTheNextLifeMayCarryOut ("the row names []").

--- a/cell/bed_test.go
+++ b/cell/bed_test.go
@@ -184,3 +184,19 @@
 	delete(bd.open, id)
 	bd.core.Looked(bd.now, Looked{Look: lk, Outcome: Silent, Sent: bd.now, Received: bd.now})
 }
+
+// silenced lets a time pass in which one worker answers nothing and the others do. It returns how many starts were ordered.
+func (bd *bed) silenced(id WorkerID, span time.Duration) int {
+	bd.t.Helper()
+	const step = 250 * time.Millisecond
+	count := 0
+	for end := bd.now.Add(span); bd.now.Before(end); bd.pass(step) {
+		for _, st := range starts(bd.plan()) {
+			bd.ordered(st, Done)
+			count++
+		}
+		bd.silence(id)
+		bd.answerAll()
+	}
+	return count
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -2,6 +2,7 @@
 package cell
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -56,8 +57,11 @@
 	Address string   `json:"address"`
 	// Machine is its machine, as far as it is known.
 	Machine MachineID `json:"machine,omitempty"`
-	// Left is for how long, from when it was written, leases of earlier owners may still be running there; only a release has it.
+	// Left is for how long, from when it was written, leases of earlier owners may still be running there, or its next life may still carry out
+	// what they ordered; only a release has it.
 	Left time.Duration `json:"left,omitempty"`
+	// Ended means that this life is known to be over.
+	Ended bool `json:"ended,omitempty"`
 }
 
 // Core is the state of a cell under one owner.
@@ -105,6 +109,8 @@
 	tidiedAt time.Time
 	// strays are the starts without an answer that the next lives of their workers may carry out.
 	strays []*stray
+	// departed are those of them whose lives have ended. What was ordered there may still be carried out by the next life.
+	departed map[WorkerID]Ref
 	// vacated are workers of earlier owners on which nothing was left when they ended.
 	vacated map[WorkerID]bool
 	// graves are workers whose end is still to be kept.
@@ -147,7 +153,7 @@
 	return &Core{
 		opts: options.WithDefaults(), pool: pool, epoch: epoch,
 		queues: map[job.QueueID]job.Queue{}, jobs: map[job.ID]*jobState{}, workers: map[WorkerID]*worker{}, counters: map[WorkerName]*Token{},
-		unresolved: map[WorkerID]time.Time{}, vacated: map[WorkerID]bool{}, dirty: map[job.ID]*jobState{}, cordons: map[WorkerName]bool{}, grabbed: map[WorkerName]time.Time{}, plagues: map[job.QueueID]time.Time{}, run: runtimes{}, ledger: NewLedger(string(pool), epoch), allotments: map[job.OrganisationID]*allotment{},
+		unresolved: map[WorkerID]time.Time{}, departed: map[WorkerID]Ref{}, vacated: map[WorkerID]bool{}, dirty: map[job.ID]*jobState{}, cordons: map[WorkerName]bool{}, grabbed: map[WorkerName]time.Time{}, plagues: map[job.QueueID]time.Time{}, run: runtimes{}, ledger: NewLedger(string(pool), epoch), allotments: map[job.OrganisationID]*allotment{},
 	}
 }
 
@@ -165,10 +171,18 @@
 		}
 		wk.enlisted = true
 		wait := max(lease, rf.Left)
-		if !released {
+		switch over := rf.Ended && rf.ID.returns(); {
+		case over && released:
+			wait = rf.Left
+		case over:
+			wait = strayFor
+		case !released:
 			wait = max(lease+cr.opts.RenewFor, rf.Left)
 		}
 		cr.unresolved[rf.ID] = now.Add(wait)
+		if rf.Ended {
+			cr.departed[rf.ID] = rf
+		}
 	}
 }
 
@@ -261,16 +275,34 @@
 	for _, gv := range cr.graves {
 		refs = append(refs, gv.ref)
 	}
-	return refs
+	for _, id := range slices.Sorted(maps.Keys(cr.departed)) {
+		refs = append(refs, cr.departed[id])
+	}
+	for _, sy := range cr.strays {
+		refs = append(refs, sy.ref)
+	}
+	return onceEach(refs)
+}
+
+// onceEach keeps the first of several that name the same life.
+func onceEach(refs []Ref) []Ref {
+	seen := make(map[WorkerID]bool, len(refs))
+	return slices.DeleteFunc(refs, func(rf Ref) bool {
+		again := seen[rf.ID]
+		seen[rf.ID] = true
+		return again
+	})
 }
 
 // Release lists the workers as Used does, with how long the leases of earlier owners may still run on those that are unresolved.
 func (cr *Core) Release(now time.Time) []Ref {
 	refs := cr.Used()
 	for at := range refs {
-		if until, open := cr.unresolved[refs[at].ID]; open {
-			refs[at].Left = max(0, until.Sub(now))
+		until := cr.unresolved[refs[at].ID]
+		if refs[at].Ended {
+			until = latest(until, cr.strayUntil(refs[at].ID))
 		}
+		refs[at].Left = max(0, until.Sub(now))
 	}
 	return refs
 }
--- a/cell/left.go
+++ b/cell/left.go
@@ -131,7 +131,7 @@
 
 // remember has the cell's row name a worker that is forgotten until what its end meant for some jobs is kept.
 func (cr *Core) remember(wk *worker, jobs []*jobState) {
-	gv := grave{ref: Ref{ID: wk.info.ID, Address: wk.info.Address, Machine: wk.info.Machine}, jobs: map[*jobState]int{}}
+	gv := grave{ref: wk.ended(), jobs: map[*jobState]int{}}
 	for _, js := range jobs {
 		gv.jobs[js] = js.gen
 	}
--- a/cell/life.go
+++ b/cell/life.go
@@ -14,6 +14,8 @@
 	lifeBase = 36
 	// strayFor is for how long after it was given an order without an answer may be carried out; the users' pages say seconds.
 	strayFor = 12 * time.Second
+	// strayRuns is the longest time that what was carried out so late then runs without another lease: workers cut a longer one down.
+	strayRuns = 10 * time.Second
 )
 
 // LifeOf names a life of a worker by when it began, in milliseconds since 1970; 0 where that is not told and each life has a name of its own.
@@ -89,7 +91,9 @@
 
 // stray is a start that had no answer before its worker's life was over. The next life under the name knows nothing that would make it void.
 type stray struct {
-	name  WorkerName
+	name WorkerName
+	// ref is the life that it was ordered of.
+	ref   Ref
 	token Token
 	task  *taskState
 	job   *jobState
@@ -102,7 +106,7 @@
 	if !pl.acked.IsZero() || !pl.worker.info.ID.returns() || !now.Before(until) {
 		return
 	}
-	sy := &stray{name: pl.worker.name, token: pl.token, task: &pl.step.tasks[pl.task.Index], job: pl.step.job, until: until}
+	sy := &stray{name: pl.worker.name, ref: pl.worker.ended(), token: pl.token, task: &pl.step.tasks[pl.task.Index], job: pl.step.job, until: until}
 	sy.task.stray = sy
 	cr.strays = append(cr.strays, sy)
 	for _, wk := range cr.lives(sy.name) {
@@ -125,6 +129,83 @@
 			return false
 		}
 		sy.task.stray, sy.job.settled = nil, false
+		cr.outdated = true
 		return true
 	})
 }
+
+// ended is a worker's life as one that is known to be over.
+func (wk *worker) ended() Ref {
+	return Ref{ID: wk.info.ID, Address: wk.info.Address, Machine: wk.info.Machine, Ended: true}
+}
+
+// strayUntil is until when a start that was ordered of a life may be carried out by the next one; zero for none.
+func (cr *Core) strayUntil(id WorkerID) time.Time {
+	var until time.Time
+	for _, sy := range cr.strays {
+		if sy.ref.ID == id {
+			until = latest(until, sy.until)
+		}
+	}
+	return until
+}
+
+// expireStrays forgets strays that no life can carry out any more.
+func (cr *Core) expireStrays(now time.Time) {
+	cr.strays = slices.DeleteFunc(cr.strays, func(sy *stray) bool {
+		if sy.task.stray == sy && (now.Before(sy.until) || cr.carriedOn(now, sy.ref.ID, sy.until)) {
+			return false
+		}
+		if sy.task.stray == sy {
+			sy.task.stray, sy.job.settled = nil, false
+		}
+		cr.outdated = true
+		return true
+	})
+}
+
+// depart notes that the life of a worker of earlier owners has ended. What they started there is over, but its next life may carry out what they
+// ordered, or may have done so before this owner knew of it. It waits to be confirmed in any case, since a later owner may have taken note of ends.
+func (cr *Core) depart(now time.Time, wk *worker) {
+	at, open := cr.unresolved[wk.info.ID]
+	if !open {
+		return
+	}
+	over := now
+	if wk.info.ID.returns() && !cr.vacated[wk.info.ID] {
+		over = now.Add(strayFor)
+		if _, known := cr.departed[wk.info.ID]; known {
+			over = at
+		}
+	}
+	for _, next := range cr.lives(wk.name) {
+		if next != wk && !next.fencedAt.IsZero() {
+			over = now
+		}
+	}
+	cr.unresolved[wk.info.ID], cr.departed[wk.info.ID] = over, wk.ended()
+}
+
+// settleDeparted resolves former lives of a worker that has answered a look: it does nothing any more that was ordered by earlier owners, and has
+// listed what it did before.
+func (cr *Core) settleDeparted(now time.Time, wk *worker) {
+	for id := range cr.departed {
+		if id.Name() == wk.name && id != wk.info.ID && cr.workers[id] == nil {
+			cr.unresolved[id] = earliest(cr.unresolved[id], now)
+		}
+	}
+}
+
+// carriedOn reports whether a later life under the name, of which no answer has come, may have carried out before a time what was ordered of a
+// former one, and may still be at it.
+func (cr *Core) carriedOn(now time.Time, id WorkerID, until time.Time) bool {
+	if !id.returns() || now.Sub(until) >= strayRuns {
+		return false
+	}
+	for _, wk := range cr.lives(id.Name()) {
+		if wk.info.ID != id && wk.listed && wk.fencedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
--- a/cell/life_test.go
+++ b/cell/life_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/aspenseam/aspenseam/job"
 )
 
 func ExampleLifeOf() {
@@ -69,3 +71,74 @@
 		t.Errorf("looks %+v after tokens %v", lks, tokens)
 	}
 }
+
+// A worker ended with a start on its way, and its next life carried the start out before another owner took over, which could not reach that life.
+// It took the former life's end for the end of what had been ordered there, and started the task a second time.
+func TestNextLifeIsLookedAtBeforeASuccessorStartsWhatTheFormerMayHave(t *testing.T) {
+	for _, looked := range []bool{true, false} {
+		bd := newBed(t, 2)
+		bd.saved = true
+		first, second := bd.core.list[0].info, bd.core.list[0].info
+		bd.core.remove(bd.core.list[0])
+		first.ID, second.ID = LifeOf("w0", 1000), LifeOf("w0", 2000)
+		bd.core.TakeOver(bd.now, bd.now, []Ref{{ID: first.ID, Address: first.Address}}, false)
+		bd.core.Register(bd.now, second)
+		bd.core.Enlisted([]Ref{{ID: second.ID}})
+		bd.add("j", 1, tasks(1))
+		bd.core.Gone(bd.now, first.ID)
+		bd.pass(time.Second)
+		lks := looksOf(bd.plan())
+		bd.pass(10 * time.Millisecond)
+		// What is exposed is kept in the first round and would start in the second.
+		if got := len(starts(append(bd.plan(), bd.plan()...))); got != 0 {
+			t.Fatalf("%d tasks start while the next life may be at them", got)
+		}
+		if !looked {
+			if got := bd.silenced(second.ID, strayFor+strayRuns-2*time.Second); got != 0 {
+				t.Errorf("%d tasks start before what the next life may be at is over", got)
+			}
+			if got := bd.silenced(second.ID, 3*time.Second); got == 0 {
+				t.Error("no task starts once it is over")
+			}
+			continue
+		}
+		tk := job.Task{Job: "j"}
+		bd.looked(lks[second.ID], []Running{{Task: tk, Attempt: 1}}, nil)
+		bd.pass(10 * time.Millisecond)
+		if got := len(starts(bd.plan())); got != 0 || bd.core.list[0].places[tk] == nil {
+			t.Errorf("%d tasks start, placed %v, want the run adopted", got, bd.core.list[0].places)
+		}
+	}
+}
+
+// An owner that waited for a start without an answer was replaced. The cell's row did not name the life any more of which it had been ordered, so
+// that nobody waited.
+func TestSuccessorIsToldOfStartsThatTheNextLifeMayCarryOut(t *testing.T) {
+	bd := newBed(t, 1)
+	first := bd.core.list[0].info
+	bd.core.remove(bd.core.list[0])
+	first.ID = LifeOf("w0", 1000)
+	bd.core.Register(bd.now, first)
+	bd.core.Enlisted([]Ref{{ID: first.ID}})
+	bd.lookAll()
+	bd.add("j", bedEpoch, tasks(1))
+	bd.ordered(bd.wantStarts(bd.plan(), 1)[0], Silent)
+	bd.core.Gone(bd.now, first.ID)
+	bd.saved = true
+	bd.pass(time.Second)
+	bd.plan()
+	refs := bd.core.Release(bd.now)
+	if len(refs) != 1 || refs[0].ID != first.ID || !refs[0].Ended || refs[0].Left != strayFor-time.Second {
+		t.Fatalf("the row names %+v", refs)
+	}
+	next := New(bedPool, bedEpoch+1, Options{})
+	next.TakeOver(bd.now, bd.now, refs, true)
+	if got := next.Release(bd.now); len(got) != 1 || got[0].Left != strayFor-time.Second {
+		t.Errorf("the next one passes on %+v", got)
+	}
+	bd.pass(strayFor)
+	bd.plan()
+	if refs := bd.core.Release(bd.now); len(refs) != 0 {
+		t.Errorf("the row still names %+v once the start is void", refs)
+	}
+}
--- a/cell/look.go
+++ b/cell/look.go
@@ -64,6 +64,7 @@
 		wk.doubtful = false
 	}
 	cr.settleStrays(wk.name, lk.Token)
+	cr.settleDeparted(now, wk)
 	listed := make(map[job.Task]*Running, len(lk.Running))
 	for at := range lk.Running {
 		listed[lk.Running[at].Task] = &lk.Running[at]
--- a/cell/model_run_test.go
+++ b/cell/model_run_test.go
@@ -24,6 +24,23 @@
 	t.Logf("%d events", played)
 }
 
+// TestModelOfReplacedOwners plays such worlds in which owners are replaced, frozen or cut off right after ends, crashes, lost orders and first
+// breaths of workers, in every other one of which workers come back under their names.
+func TestModelOfReplacedOwners(t *testing.T) {
+	played := 0
+	for seed := *modelSeed; played < *modelSteps; seed++ {
+		played += playModel(t, seed, newDenseModel(seed))
+	}
+	t.Logf("%d events", played)
+}
+
+// newDenseModel is the world of a seed with owners replaced in the moments that matter.
+func newDenseModel(seed int64) *model {
+	md := newModel(seed, seed%2 == 0)
+	md.dense = true
+	return md
+}
+
 // playWorld plays the world of a seed to its end and returns how many events it had.
 func playWorld(t *testing.T, seed int64) int {
 	t.Helper()
@@ -58,9 +75,9 @@
 }
 
 // A start had no answer, the list of machines told that its worker had ended, and the task was started elsewhere; the worker came back under its
-// name and carried the first start out.
+// name and carried the first start out. In the last world that happened under the next owner, which had not heard of the new life's run.
 func TestModelOfLivesOfSeedsThatFailed(t *testing.T) {
-	for _, seed := range []int64{400019, 600070} {
+	for _, seed := range []int64{400019, 600070, 2908015} {
 		playModel(t, seed, newModel(seed, true))
 	}
 }
--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -118,8 +118,10 @@
 	order   int
 	workers map[WorkerID]*truthWorker
 	// lives are the workers' lives in the order in which they began. reborn means that many of them begin under the name of one that ended.
-	lives   []*truthWorker
-	reborn  bool
+	lives  []*truthWorker
+	reborn bool
+	// dense means that troubles of owners come in the moment of ends, crashes, lost orders and first breaths of workers.
+	dense   bool
 	owners  []*modelOwner
 	version int64
 	// rowVersion, rowEpoch, used, exposed and released are the cell's row.
@@ -214,6 +216,7 @@
 	for _, ow := range md.owners {
 		ow.core.Register(md.now, wk.info)
 	}
+	md.strike(strikeBirth)
 }
 
 // living is the life that a worker has now; nil while it has none.
@@ -259,6 +262,7 @@
 		md.done[tk] = true
 	}
 	wk.ended = append(wk.ended, End{Number: wk.last, Task: tk, Attempt: rn.attempt, How: how})
+	md.strike(strikeEnd)
 	md.note("%s: %v attempt %d ended %s", wk.info.ID, tk, rn.attempt, how)
 }
 
@@ -483,6 +487,12 @@
 	if md.calm {
 		luck = 100
 	}
+	if md.dense && !md.calm {
+		luck /= denseLost
+	}
+	if luck < 8 {
+		md.strike(strikeLost)
+	}
 	silent := func() { md.at(time.Second, func() { md.deliver(ow, act(sent, nil, Silent)) }) }
 	switch {
 	case md.now.Before(ow.cutWorkers[id]) || luck < 3:
--- a/cell/model_trouble_test.go
+++ b/cell/model_trouble_test.go
@@ -28,6 +28,7 @@
 		md.cut(ow)
 	case 4:
 		md.crash(wk)
+		md.crashOthers()
 	case 5, 6:
 		if cur := md.current(); cur == nil || md.rnd.Intn(2) == 0 {
 			md.claim()
@@ -64,6 +65,7 @@
 	md.bury(wk)
 	wk.runs, wk.ended = map[job.Task]*truthRun{}, nil
 	md.note("%s crashes", wk.info.ID)
+	md.strike(strikeCrash)
 	name := WorkerName("")
 	back := md.millis(500, 5000)
 	if md.reborn && md.rnd.Intn(4) > 0 {
@@ -80,6 +82,18 @@
 	})
 }
 
+// crashOthers ends further workers in a dense world, as the loss of a rack does.
+func (md *model) crashOthers() {
+	if !md.dense {
+		return
+	}
+	for _, wk := range md.sorted() {
+		if wk.alive && md.rnd.Intn(denseCrash) == 0 {
+			md.crash(wk)
+		}
+	}
+}
+
 // handOver is a planned stop of an owner.
 func (md *model) handOver(ow *modelOwner) {
 	md.version++
@@ -112,3 +126,44 @@
 	wk.token = token
 	return Dead
 }
+
+// strikes are how often of a hundred times a dense world's owner is troubled after something has happened, and strikeWithin is how soon.
+const (
+	strikeEnd    = 1
+	strikeLost   = 2
+	strikeBirth  = 15
+	strikeCrash  = 30
+	strikeWithin = 400
+	// denseLost is how many times as many orders are lost in a dense world, denseCrash of how many workers one ends along with another.
+	denseLost  = 3
+	denseCrash = 3
+)
+
+// strike replaces, freezes or cuts off the owner soon after something has happened whose word it may lose with that.
+func (md *model) strike(often int) {
+	if !md.dense || md.calm || md.rnd.Intn(100) >= often {
+		return
+	}
+	md.at(md.millis(0, strikeWithin), func() {
+		cur := md.current()
+		if md.calm || cur == nil {
+			return
+		}
+		switch md.rnd.Intn(5) {
+		case 0:
+			md.claim()
+		case 1:
+			cur.frozen = latest(cur.frozen, md.now.Add(md.millis(100, 9000)))
+			md.at(cur.frozen.Sub(md.now)+time.Millisecond, func() { md.plan(cur) })
+			md.claim()
+		case 2:
+			cur.cutStore = md.now.Add(md.millis(100, 12000))
+		case 3:
+			md.cut(cur)
+		case 4:
+			if !md.now.Before(cur.frozen) && !md.now.Before(cur.cutStore) && !cur.core.Saving() {
+				md.handOver(cur)
+			}
+		}
+	})
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -249,7 +249,7 @@
 			held = true
 			continue
 		}
-		if ts.stray != nil && ts.stray.until.After(now) {
+		if ts.stray != nil {
 			cr.wakeAt(ts.stray.until)
 			held = true
 			continue
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -24,6 +24,7 @@
 	cr.noteStall(now)
 	cr.orders, cr.wake, cr.planned = nil, now.Add(idleWake), now
 	cr.expire(now)
+	cr.expireStrays(now)
 	for _, wk := range cr.list {
 		cr.advance(now, wk)
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -286,10 +286,7 @@
 	}
 	cr.remove(wk)
 	cr.settleStrays(wk.name, seen)
-	if at, open := cr.unresolved[wk.info.ID]; open && now.Before(at) {
-		// What earlier owners started there is over. A later owner may have taken note of its end, so this one waits to be confirmed.
-		cr.unresolved[wk.info.ID] = now
-	}
+	cr.depart(now, wk)
 }
 
 // resolve notes that nothing runs unseen on a worker.
@@ -298,19 +295,25 @@
 		return
 	}
 	delete(cr.unresolved, id)
+	delete(cr.departed, id)
 	cr.opts.Log(Decision{What: "worker resolved", Worker: id, Why: why})
 }
 
+// resolveUnseen notes that nothing runs on a worker any more at which this owner has not looked: tasks may have been lost with it.
+func (cr *Core) resolveUnseen(now time.Time, id WorkerID, why string) {
+	cr.resolve(now, id, why)
+	if !cr.vacated[id] {
+		cr.Expose(cr.epoch)
+	}
+	delete(cr.vacated, id)
+}
+
 // expire releases what ran on workers that have been silent for longer than their leases.
 func (cr *Core) expire(now time.Time) {
 	for id, at := range cr.unresolved {
 		// An owner after this one may have renewed what earlier ones started, unless this one is confirmed later than that.
-		if now.After(at) && cr.confirmed.After(at) {
-			cr.resolve(now, id, "what earlier owners started there is over")
-			if !cr.vacated[id] {
-				cr.Expose(cr.epoch)
-			}
-			delete(cr.vacated, id)
+		if now.After(at) && cr.confirmed.After(at) && !cr.carriedOn(now, id, at) {
+			cr.resolveUnseen(now, id, "what earlier owners started there is over")
 		}
 	}
 	for _, wk := range cr.list {
