Rooms of registrations from before an outage of the store are not counted on whole

Causes: an owner was confirmed after the outage before it had heard of the registrations; and a worker tells of its room with its next heartbeat only, up to 1.5 s after the store is back.

Change: nothing starts while registrations are over 2 s older than the newest confirmation; and a third of a room is counted on once its registration is older than contact_ms and a heartbeat allow.

A room that shrinks to less than a third in an outage is still exceeded.

--- a/cell/burst_test.go
+++ b/cell/burst_test.go
@@ -208,6 +208,7 @@
 		}
 		bt.now = tick
 		bt.core.Confirmed(bt.now)
+		bt.core.Registered(bt.now)
 		bt.plan()
 	}
 }
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -37,6 +37,8 @@
 	Room    job.Size
 	// Draining means that it takes no new tasks and will leave.
 	Draining bool
+	// Told is when its registration was last written, as far as that is known; zero if it is not.
+	Told time.Time
 	// Withheld means that its registration names no worker to use any more, though nothing says that it leaves: it gets nothing new, and what
 	// runs there goes on.
 	Withheld bool
@@ -250,9 +252,14 @@
 	}
 }
 
-// awake reports whether what the owner decides by is newer than the last time it stood still: its ownership and the registrations.
+// roomsLag is by how much the registrations may be older than the newest confirmation of the ownership: both come through the store, each by a
+// call that waits up to a second.
+const roomsLag = 2 * time.Second
+
+// awake reports whether what the owner decides by is newer than the last time it stood still: its ownership and the registrations. After an outage of
+// the store it may be confirmed before it hears of rooms that shrank meanwhile.
 func (cr *Core) awake() bool {
-	return !cr.confirmed.Before(cr.wokeAt) && !cr.registered.Before(cr.wokeAt)
+	return !cr.confirmed.Before(cr.wokeAt) && !cr.registered.Before(cr.wokeAt) && cr.confirmed.Sub(cr.registered) <= roomsLag
 }
 
 // Configure puts queues in force; those that are gone keep their last policy for the jobs they have accepted.
--- a/cell/options.go
+++ b/cell/options.go
@@ -25,6 +25,8 @@
 	Early time.Duration
 	// StopTime is the longest that a stop takes at a worker.
 	StopTime time.Duration
+	// RoomFor is how long after its registration was last written a worker is taken to have the room that it names.
+	RoomFor time.Duration
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
 	// RemoteFactor is how much longer tasks take away from their data's rack.
@@ -59,6 +61,7 @@
 	DefaultSaveGap   = 200 * time.Millisecond
 	DefaultClockSlow = 0.02
 	DefaultRetention = 150 * time.Second
+	DefaultRoomFor   = 3500 * time.Millisecond
 	// horizonMargin covers the time that an order spends on its way and in a process that is slow.
 	horizonMargin = 500 * time.Millisecond
 )
@@ -76,6 +79,7 @@
 	set(&op.LookGap, DefaultLookGap)
 	set(&op.SaveGap, DefaultSaveGap)
 	set(&op.Retention, DefaultRetention)
+	set(&op.RoomFor, DefaultRoomFor)
 	if op.ClockSlow == 0 {
 		op.ClockSlow = DefaultClockSlow
 	}
--- a/cell/outage_test.go
+++ b/cell/outage_test.go
@@ -29,3 +29,42 @@
 		t.Errorf("%d tasks start once they are, want 1", len(sts))
 	}
 }
+
+// The store came back, and with it the registrations, but each worker writes its own anew only with its next heartbeat: rooms that shrank before the
+// outage were told up to that much later. Until then a third of a room is counted on, and nothing is stopped for want of the rest.
+func TestRoomOfAnOldRegistrationIsCountedOnInPart(t *testing.T) {
+	bd := newBed(t, 1)
+	in := bd.core.list[0].info
+	tell := func() {
+		in.Told = bd.now
+		bd.core.Register(bd.now, in)
+	}
+	tell()
+	bd.pass(time.Second)
+	tell()
+	bd.add("j", bedEpoch, tasks(4))
+	first := bd.wantStarts(bd.plan(), 4)
+	for at, st := range first {
+		bd.ordered(st, Done)
+		if at > 0 {
+			continue
+		}
+		bd.pass(DefaultRoomFor + time.Millisecond)
+		bd.lookAll()
+	}
+	var running []Running
+	for _, st := range first[1:] {
+		running = append(running, Running{Task: st.Task, Attempt: st.Attempt})
+	}
+	bd.looked(bd.nextLook("w0"), running[:1], []End{bd.end(first[0], EndDone), bd.end(first[3], EndDone), bd.end(first[2], EndDone)})
+	bd.add("k", bedEpoch, tasks(1))
+	orders := bd.plan()
+	if got := len(starts(orders)); got != 0 {
+		t.Errorf("%d tasks start beside one on a worker with room for four that was last told %v ago", got, DefaultRoomFor)
+	}
+	bd.looked(bd.nextLook("w0"), nil, []End{bd.end(first[1], EndDone)})
+	bd.wantStarts(bd.plan(), 1)
+	tell()
+	bd.add("l", bedEpoch, tasks(3))
+	bd.wantStarts(bd.plan(), 3)
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -91,6 +91,8 @@
 type candidate struct {
 	*worker
 	free job.Size
+	// untold means that its registration is too old to count on all of its room.
+	untold bool
 	// ahead is the room of what is to be started there once there is some.
 	ahead job.Size
 	// newcomers are the tasks that were started there just now, where some queue crashes workers.
@@ -170,7 +172,8 @@
 			// What runs there is not known by size.
 			continue
 		}
-		list = append(list, &candidate{worker: wk, free: wk.info.Room.Minus(wk.used)})
+		room := cr.roomOf(now, wk)
+		list = append(list, &candidate{worker: wk, free: room.Minus(wk.used), untold: room != wk.info.Room})
 	}
 	return dropSlow(now, list)
 }
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -82,6 +82,10 @@
 // victims are the tasks of lower priorities on a worker that have to be stopped for one task of a step, the lowest priority and the
 // least work first, and the work that is lost with them.
 func (cr *Core) victims(cd *candidate, st *step, priority int) (list []*placement, cost float64, ok bool) {
+	if cd.untold {
+		// Its room is most likely what it was.
+		return nil, 0, false
+	}
 	if st.spec.Label != "" && !hasLabel(cd.info.Labels, st.spec.Label) || st.spec.SpreadLimit > 0 && st.on(cd.worker) >= st.spec.SpreadLimit {
 		return nil, 0, false
 	}
--- a/cell/registry.go
+++ b/cell/registry.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
 
 // Register tells of a worker as it is registered now.
 func (cr *Core) Register(now time.Time, in Worker) {
@@ -8,9 +12,23 @@
 	if in.Draining && !wk.info.Draining {
 		cr.opts.Log(Decision{What: "worker drains", Worker: in.ID})
 	}
+	wk.renewed = wk.renewed || in.Told.After(wk.info.Told) && !wk.info.Told.IsZero()
 	wk.info, wk.listed, wk.known, wk.unlistedAt = in, true, true, time.Time{}
 }
 
+// roomUntold divides the room of a worker whose registration is old into what is counted on: an outage of the store keeps it from telling that its
+// room has shrunk, and what is overfull ends for all tasks there.
+const roomUntold = 3
+
+// roomOf is the room of a worker that is counted on. Some platforms do not tell that a registration was written anew and says the same; then its age
+// means nothing.
+func (cr *Core) roomOf(now time.Time, wk *worker) job.Size {
+	if wk.renewed && now.Sub(wk.info.Told) > cr.opts.RoomFor {
+		return wk.info.Room.Over(roomUntold)
+	}
+	return wk.info.Room
+}
+
 // Unregister tells that a worker's registration is gone, which alone does not prove that it is.
 func (cr *Core) Unregister(now time.Time, id WorkerID) {
 	if wk, ok := cr.workers[id]; ok && wk.listed {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -87,8 +87,10 @@
 	// known means that this owner has read a registration of it.
 	known      bool
 	unlistedAt time.Time
-	enlisted   bool
-	enlisting  bool
+	// renewed means that its registration was told again while it was known.
+	renewed   bool
+	enlisted  bool
+	enlisting bool
 	// counter is that of the tokens for all lives of the worker.
 	counter *Token
 	fenced  bool
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -106,7 +106,7 @@
 }
 
 // registryChanged takes changes of the workers' registrations.
-func (fl *Fleet) registryChanged(rows []Row, _ time.Time) {
+func (fl *Fleet) registryChanged(rows []Row, asked time.Time) {
 	usual := fl.roster.traits()
 	list := make([]registrationRow, 0, len(rows))
 	for _, rw := range rows {
@@ -114,6 +114,7 @@
 		if !rw.Deleted {
 			rd.worker, rd.err = fl.opts.Format.Worker(rw)
 			if rd.err == nil {
+				rd.worker.Told = asked
 				usual = usual.of(rd.worker)
 			}
 		}
