Test: a handover names the workers of earlier owners that ended unseen

What callers would see: a task that crashes its workers is started more often than twice after three crashes (TestModel: five workers, each time as attempt 1).

Cause: between the word that a worker of an earlier owner had ended and the next confirmation of the ownership, the cell's row neither named that worker nor said that jobs were exposed; a handover in that moment lost it.

--- a/cell/exposure_test.go
+++ b/cell/exposure_test.go
@@ -97,3 +97,28 @@
 		}
 	}
 }
+
+// A cell was handed over between the word that a worker of an earlier owner had ended and the next confirmation. The row named that worker no more
+// and told of no exposed jobs, so that the start which had ended it was never counted: one task ended five workers as attempt 1.
+func TestHandoverNamesWorkersThatEndedUnseen(t *testing.T) {
+	bd := newBed(t, 1)
+	bd.saved = true
+	bd.core.TakeOver(bd.now, bd.now, []Ref{{ID: "gone", Address: "gone", Machine: "m1"}}, false)
+	bd.core.Gone(bd.now, "gone")
+	bd.core.Plan(bd.now)
+	refs := bd.core.Release(bd.now)
+	if !slices.ContainsFunc(refs, func(rf Ref) bool { return rf.ID == "gone" }) {
+		t.Errorf("the row names %+v", refs)
+	}
+	next := New(bedPool, bedEpoch+1, Options{})
+	next.TakeOver(bd.now, bd.now, refs, true)
+	next.Expose(bd.core.Exposed())
+	next.Add(bd.now, Stored{Spec: &job.Spec{ID: "j", Queue: "q", Pool: bedPool, Steps: []job.Step{tasks(1)}, Epoch: 1}})
+	next.Gone(bd.now, "gone")
+	bd.pass(time.Second)
+	next.Confirmed(bd.now)
+	next.Plan(bd.now)
+	if next.Exposed() == 0 {
+		t.Error("the next owner knows of nothing that may have been lost there")
+	}
+}
