Known reds: jobs given up without a cause, orders void at the life before; the model's new kind of worlds as tests

The nine worlds in which a task ran twice are tests now (TestModelOfReplacedOwnersOfSeedsThatFailed); they failed before.

--- a/cell/model_run_test.go
+++ b/cell/model_run_test.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// Owners were replaced while a start that had lost its answer was being carried out by the next life of its worker.
+func TestModelOfReplacedOwnersOfSeedsThatFailed(t *testing.T) {
+	for _, seed := range []int64{8000194, 9000246, 12000386, 13000490, 8000546, 9000542, 10000616, 10000706, 11000758} {
+		playModel(t, seed, newDenseModel(seed))
+	}
+}
+
 // Jobs that lost workers four times over were given up though fewer than two had crashed under them: attempts that had ended unread, or that
 // were kept and never ordered since their owner was replaced in that moment, count as losses.
 func TestModelGivesUpForCrashesAlone(t *testing.T) {
@@ -89,3 +96,20 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playWorld(t, seed) })
 	}
 }
+
+// Owners were replaced right after ends, starts and intents, and workers ended in the same moments. What an earlier owner had kept and never ordered,
+// had ordered of a worker that had ended before, or had not read the end of counted as a worker lost under the task, four times over.
+func TestModelGivesUpForCrashesAloneThoughOwnersAreReplaced(t *testing.T) {
+	for _, seed := range []int64{516155, 518576} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playWorld(t, seed) })
+	}
+	for _, seed := range []int64{8000015, 11000039} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playModel(t, seed, newDenseModel(seed)) })
+	}
+}
+
+// An order without an answer was void at the next life of its worker, which had seen a higher token, so that its task was started elsewhere; that life
+// ended, too, and the one after it carried the order out.
+func TestModelOfOrdersVoidAtTheLifeBefore(t *testing.T) {
+	playModel(t, 7000658, newDenseModel(7000658))
+}
