Registrations count as of the answer before theirs, and as old where they were read whole after an outage

Change: told since the answer before; read whole within 2.5 s of the store's return means old; whether renewals are told is known by the cell.

TestRoomOfARegistrationThatWasOldWhenItWasReadIsCountedOnInPart and TestAgeOfARegistrationCountsOnceOthersAreRenewed failed before their changes. A first form without a bound on the age of registrations read whole failed TestMaximumOverPools ("never: the end of m1"): its stand-in renews none.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -105,7 +105,9 @@
 	grabbed    map[WorkerName]time.Time
 	urgentSave bool
 	window     window
-	hearing    hearing
+	// renewals means that registrations are told when they are written anew, though they say the same.
+	renewals bool
+	hearing  hearing
 	// outdated means that the cell's row names workers that are gone; tidiedAt is when such were last taken from it.
 	outdated bool
 	tidiedAt time.Time
--- a/cell/outage_test.go
+++ b/cell/outage_test.go
@@ -68,3 +68,34 @@
 	bd.add("l", bedEpoch, tasks(3))
 	bd.wantStarts(bd.plan(), 3)
 }
+
+// An owner that took over when the store was back had read registrations from before the outage, and counted on all of their rooms.
+func TestRoomOfARegistrationThatWasOldWhenItWasReadIsCountedOnInPart(t *testing.T) {
+	bd := newBed(t, 1)
+	in := bd.core.list[0].info
+	in.Told = bd.now.Add(-DefaultRoomFor - time.Second)
+	bd.core.Register(bd.now, in)
+	bd.add("j", bedEpoch, tasks(4))
+	bd.wantStarts(bd.plan(), 1)
+	in.Told = bd.now
+	bd.core.Register(bd.now, in)
+	bd.wantStarts(bd.plan(), 3)
+}
+
+// A worker had been moved to the pool a second before the outage, so that its registration had been told once only. Its age was taken for nothing.
+func TestAgeOfARegistrationCountsOnceOthersAreRenewed(t *testing.T) {
+	bd := newBed(t, 2)
+	tell := func(at int) {
+		in := bd.core.list[at].info
+		in.Told = bd.now
+		bd.core.Register(bd.now, in)
+	}
+	tell(0)
+	bd.pass(time.Second)
+	tell(0)
+	tell(1)
+	bd.pass(DefaultRoomFor + time.Millisecond)
+	bd.lookAll()
+	bd.add("j", bedEpoch, tasks(8))
+	bd.wantStarts(bd.plan(), 2)
+}
--- a/cell/registry.go
+++ b/cell/registry.go
@@ -12,7 +12,10 @@
 	if in.Draining && !wk.info.Draining {
 		cr.opts.Log(Decision{What: "worker drains", Worker: in.ID})
 	}
-	wk.renewed = wk.renewed || in.Told.After(wk.info.Told) && !wk.info.Told.IsZero()
+	cr.renewals = cr.renewals || wk.known && in.Told.After(wk.info.Told)
+	if !wk.known && !in.Told.IsZero() && now.Sub(in.Told) > cr.opts.RoomFor {
+		wk.untoldUntil = now.Add(renewedWithin)
+	}
 	wk.info, wk.listed, wk.known, wk.unlistedAt = in, true, true, time.Time{}
 }
 
@@ -20,10 +23,14 @@
 // room has shrunk, and what is overfull ends for all tasks there.
 const roomUntold = 3
 
+// renewedWithin is how long a registration that was old when it was first read may take to be written anew.
+const renewedWithin = 2500 * time.Millisecond
+
 // roomOf is the room of a worker that is counted on. Some platforms do not tell that a registration was written anew and says the same; then its age
-// means nothing.
+// means nothing, but where it is old from the first.
 func (cr *Core) roomOf(now time.Time, wk *worker) job.Size {
-	if wk.renewed && now.Sub(wk.info.Told) > cr.opts.RoomFor {
+	old := now.Sub(wk.info.Told) > cr.opts.RoomFor
+	if old && (cr.renewals || now.Before(wk.untoldUntil)) {
 		return wk.info.Room.Over(roomUntold)
 	}
 	return wk.info.Room
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -87,10 +87,10 @@
 	// known means that this owner has read a registration of it.
 	known      bool
 	unlistedAt time.Time
-	// renewed means that its registration was told again while it was known.
-	renewed   bool
-	enlisted  bool
-	enlisting bool
+	// untoldUntil is until when a registration that was old when it was first read is not counted on whole.
+	untoldUntil time.Time
+	enlisted    bool
+	enlisting   bool
 	// counter is that of the tokens for all lives of the worker.
 	counter *Token
 	fenced  bool
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -105,8 +105,25 @@
 	err    error
 }
 
+// renewedWithin is how long after the store is back all workers that live have written their registrations anew.
+const renewedWithin = 2500 * time.Millisecond
+
+// told is since when registrations were written that came with an answer: since the answer before it. Those that are read whole may be from before
+// an outage that has just ended.
+func (fl *Fleet) told(asked time.Time) time.Time {
+	if fl.registry.loaded() {
+		_, before := fl.registry.healthy()
+		return before
+	}
+	if since, _ := fl.control.healthy(); asked.Sub(since) < renewedWithin {
+		return asked.Add(-longAgo)
+	}
+	return asked
+}
+
 // registryChanged takes changes of the workers' registrations.
 func (fl *Fleet) registryChanged(rows []Row, asked time.Time) {
+	told := fl.told(asked)
 	usual := fl.roster.traits()
 	list := make([]registrationRow, 0, len(rows))
 	for _, rw := range rows {
@@ -114,7 +131,7 @@
 		if !rw.Deleted {
 			rd.worker, rd.err = fl.opts.Format.Worker(rw)
 			if rd.err == nil {
-				rd.worker.Told = asked
+				rd.worker.Told = told
 				usual = usual.of(rd.worker)
 			}
 		}
