--- a/cell/registry.go
+++ b/cell/registry.go
@@ -14,7 +14,7 @@
 	}
 	cr.renewals = cr.renewals || wk.known && in.Told.After(wk.info.Told)
 	if !wk.known && !in.Told.IsZero() && now.Sub(in.Told) > cr.opts.RoomFor {
-		wk.untoldUntil = now.Add(renewedWithin)
+		wk.untoldUntil = now.Add(RenewedWithin)
 	}
 	wk.info, wk.listed, wk.known, wk.unlistedAt = in, true, true, time.Time{}
 }
@@ -23,8 +23,8 @@
 // room has shrunk, and what is overfull ends for all tasks there.
 const roomUntold = 3
 
-// renewedWithin is how long a registration that was old when it was first read may take to be written anew.
-const renewedWithin = 2500 * time.Millisecond
+// RenewedWithin is how long a registration that was old when it was first read may take to be written anew.
+const RenewedWithin = 2500 * time.Millisecond
 
 // roomOf is the room of a worker that is counted on. Some platforms do not tell that a registration was written anew and says the same; then its age
 // means nothing, but where it is old from the first.
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -105,9 +105,6 @@
 	err    error
 }
 
-// renewedWithin is how long after the store is back all workers that live have written their registrations anew.
-const renewedWithin = 2500 * time.Millisecond
-
 // told is since when registrations were written that came with an answer: since the answer before it. Those that are read whole may be from before
 // an outage that has just ended.
 func (fl *Fleet) told(asked time.Time) time.Time {
@@ -115,7 +112,7 @@
 		_, before := fl.registry.healthy()
 		return before
 	}
-	if since, _ := fl.control.healthy(); asked.Sub(since) < renewedWithin {
+	if since, _ := fl.control.healthy(); asked.Sub(since) < cell.RenewedWithin {
 		return asked.Add(-longAgo)
 	}
 	return asked
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -105,3 +105,28 @@
 		}
 	}
 }
+
+// Registrations that came with the first answer after an outage of the store counted as written when they were asked for. They were written before
+// it, and rooms that had shrunk in between were counted on.
+func TestRegistrationsCountAsOfTheAnswerBeforeTheirs(t *testing.T) {
+	fl, _ := newRegistry(t)
+	start := time.Now()
+	read := func(asked time.Time) time.Time {
+		fl.registryChanged([]Row{{Table: "registry", Key: "w0", Value: []byte("{}")}}, asked)
+		wk, _ := fl.roster.get("w0")
+		return wk.Told
+	}
+	fl.control.succeeded(start)
+	if got := read(start.Add(time.Second)); start.Sub(got) < cell.DefaultRoomFor {
+		t.Errorf("read whole a second after the store was back: told %v before that", start.Sub(got))
+	}
+	late := start.Add(2 * cell.RenewedWithin)
+	if got := read(late); !got.Equal(late) {
+		t.Errorf("read whole long after: told %v before it was asked for", late.Sub(got))
+	}
+	fl.registry.ready.Store(true)
+	fl.registry.succeeded(late)
+	if got := read(late.Add(4 * time.Second)); got.Sub(late).Abs() > time.Millisecond {
+		t.Errorf("the answer before was asked for at %v, told at %v", late, got)
+	}
+}
