The row of a cell names no ended worker of earlier owners once that is resolved

What it would cost: each next owner holds jobs of before back for up to 12 s for the next life of a worker that ended long ago, and takes its jobs for exposed. TestRowOfACellNamesNoEndedWorkerThatIsResolved fails without it (the row still names the worker after it was resolved).

--- a/cell/exposure_test.go
+++ b/cell/exposure_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -122,3 +123,25 @@
 		t.Error("the next owner knows of nothing that may have been lost there")
 	}
 }
+
+// The row of a cell went on naming an ended worker of earlier owners after that was resolved, and each next owner waited for it again.
+func TestRowOfACellNamesNoEndedWorkerThatIsResolved(t *testing.T) {
+	bd := newBed(t, 1)
+	bd.saved = true
+	bd.core.TakeOver(bd.now, bd.now, []Ref{{ID: "gone", Address: "gone"}}, true)
+	bd.core.Gone(bd.now, "gone")
+	named := true
+	for at := range 3 {
+		bd.add(job.ID(fmt.Sprint("j", at)), bedEpoch, tasks(1))
+		bd.core.Cancel(bd.now, job.ID(fmt.Sprint("j", at)))
+		for _, od := range bd.plan() {
+			if en, ok := od.(Enlist); ok {
+				named = slices.ContainsFunc(en.Workers, func(rf Ref) bool { return rf.ID == "gone" })
+			}
+		}
+		bd.pass(2 * tidyEvery)
+	}
+	if named {
+		t.Error("the row still names the worker after it was resolved")
+	}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -297,7 +297,11 @@
 		return
 	}
 	delete(cr.unresolved, id)
-	delete(cr.departed, id)
+	if _, gone := cr.departed[id]; gone {
+		// The row is not to name it any longer: a next owner would wait for its next life again.
+		delete(cr.departed, id)
+		cr.outdated = true
+	}
 	cr.opts.Log(Decision{What: "worker resolved", Worker: id, Why: why})
 }
 
