Leases on a life that began lately may be as long as the worker lets them be

Cause: an order of a worker's former life, carried out by the next one, names the end of a lease on the former life's clock; the worker cuts it down to its longest lease of ten seconds. The owner counted on the five that it had given itself. Evidence: the world's log with the worker's leases: until 14539 at clock 6210 where the owner had given 10206; lapsed by the owner at 46.511 s, started elsewhere at 47.316 s, by the worker it ran to 48.5 s.

Change: what is silent on a life is not given up before the longest lease of an order that may have reached it before its first look.

--- a/cell/life.go
+++ b/cell/life.go
@@ -209,3 +209,14 @@
 	}
 	return false
 }
+
+// inherit takes it that an order of the former life has prolonged the leases on a worker that began lately: it may have been carried out before the
+// first look, and its time is one on the former life's clock, so that only the longest lease bounds it.
+func (cr *Core) inherit(wk *worker, looked time.Time) {
+	if !wk.info.ID.returns() {
+		return
+	}
+	began := time.UnixMilli(wk.info.ID.Born()).Add(-cr.ahead)
+	last := earliest(began.Add(strayFor), looked)
+	wk.leaseEnd = latest(wk.leaseEnd, last.Add(cr.slow(strayRuns)+horizonMargin))
+}
--- a/cell/life_test.go
+++ b/cell/life_test.go
@@ -142,3 +142,30 @@
 		t.Errorf("the row still names %+v once the start is void", refs)
 	}
 }
+
+// An order of a worker's former life was carried out by the next one, which took the time in it for one on its own clock: its leases ran for ten
+// seconds. An owner that had given it five, and heard no more of it, started its tasks elsewhere while they ran.
+func TestLeaseOfALifeThatBeganLatelyMayBeLonger(t *testing.T) {
+	for age, lapses := range map[time.Duration]bool{time.Second: false, time.Minute: true} {
+		bd := newBed(t, 2)
+		in := bd.core.list[0].info
+		bd.core.remove(bd.core.list[0])
+		in.ID = LifeOf("w0", bd.now.Add(-age).UnixMilli())
+		bd.core.Register(bd.now, in)
+		bd.core.Enlisted([]Ref{{ID: in.ID}})
+		bd.lookAll()
+		bd.add("j", bedEpoch, tasks(8))
+		for _, st := range bd.wantStarts(bd.plan(), 8) {
+			bd.ordered(st, Done)
+		}
+		wk := bd.core.workers[in.ID]
+		bd.silenced(in.ID, 8*time.Second)
+		if got := len(wk.places) == 0; got != lapses {
+			t.Errorf("began %v ago: lapsed after 8 s %t, want %t", age, got, lapses)
+		}
+		bd.silenced(in.ID, 4*time.Second)
+		if len(wk.places) > 0 {
+			t.Errorf("began %v ago: not lapsed after 12 s", age)
+		}
+	}
+}
--- a/cell/look.go
+++ b/cell/look.go
@@ -57,6 +57,9 @@
 	wk.told = max(wk.told, lk.Observed)
 	first := !wk.fenced
 	if first {
+		if wk.fencedAt.IsZero() {
+			cr.inherit(wk, lk.Received)
+		}
 		wk.busyAt, wk.fencedAt = now, lk.Received
 	}
 	wk.fenced = true
--- a/cell/model_run_test.go
+++ b/cell/model_run_test.go
@@ -77,7 +77,7 @@
 // A start had no answer, the list of machines told that its worker had ended, and the task was started elsewhere; the worker came back under its
 // name and carried the first start out. In the last world that happened under the next owner, which had not heard of the new life's run.
 func TestModelOfLivesOfSeedsThatFailed(t *testing.T) {
-	for _, seed := range []int64{400019, 600070, 2908015} {
+	for _, seed := range []int64{400019, 600070, 2908015, 61000445} {
 		playModel(t, seed, newModel(seed, true))
 	}
 }
