Known red: a look that the next life carries out acknowledges ends that nobody has read

Traced: the owner stands still from 8.259 s, the worker ends at 8.299 s and comes back under its name; a look that acknowledges seven ends of the former life is carried out by the next one at 11.390 s and makes it forget the end of an attempt that a stray start had begun. No owner can tell or undo that: it is listed as open, beside the other two ways in which a next life may take an order for its own (docs/DESIGN.md, not closed).

--- a/cell/model_run_test.go
+++ b/cell/model_run_test.go
@@ -113,3 +113,9 @@
 func TestModelOfOrdersVoidAtTheLifeBefore(t *testing.T) {
 	playModel(t, 7000658, newDenseModel(7000658))
 }
+
+// A look without an answer was carried out by the next life of its worker, before the owner had looked at that one: what it acknowledged of the former
+// life's ends were ends of the new one, which nobody had read.
+func TestModelOfLooksAtTheLifeBefore(t *testing.T) {
+	playModel(t, 82000457, newModel(82000457, true))
+}
