--- a/cell/model_run_test.go
+++ b/cell/model_run_test.go
@@ -100,7 +100,7 @@
 // Owners were replaced right after ends, starts and intents, and workers ended in the same moments. What an earlier owner had kept and never ordered,
 // had ordered of a worker that had ended before, or had not read the end of counted as a worker lost under the task, four times over.
 func TestModelGivesUpForCrashesAloneThoughOwnersAreReplaced(t *testing.T) {
-	for _, seed := range []int64{516155, 518576} {
+	for _, seed := range []int64{516155, 518576, 72000526} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playWorld(t, seed) })
 	}
 	for _, seed := range []int64{8000015, 11000039} {
