--- a/cell/model_run_test.go
+++ b/cell/model_run_test.go
@@ -100,9 +100,10 @@
 // Owners were replaced right after ends, starts and intents, and workers ended in the same moments. What an earlier owner had kept and never ordered,
 // had ordered of a worker that had ended before, or had not read the end of counted as a worker lost under the task, four times over.
 func TestModelGivesUpForCrashesAloneThoughOwnersAreReplaced(t *testing.T) {
-	for _, seed := range []int64{516155, 518576, 72000526} {
+	for _, seed := range []int64{516155, 518576, 71001142, 71001265, 72000526} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playWorld(t, seed) })
 	}
+	t.Run("81001133", func(t *testing.T) { playModel(t, 81001133, newModel(81001133, true)) })
 	for _, seed := range []int64{8000015, 11000039} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playModel(t, seed, newDenseModel(seed)) })
 	}
