--- a/cell/model_run_test.go
+++ b/cell/model_run_test.go
@@ -103,7 +103,9 @@
 	for _, seed := range []int64{516155, 518576, 71001142, 71001265, 72000526} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playWorld(t, seed) })
 	}
-	t.Run("81001133", func(t *testing.T) { playModel(t, 81001133, newModel(81001133, true)) })
+	for _, seed := range []int64{81001133, 993764048} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playModel(t, seed, newModel(seed, true)) })
+	}
 	for _, seed := range []int64{8000015, 11000039} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playModel(t, seed, newDenseModel(seed)) })
 	}
