Losses of workers: the log names each loss of a task and how it was observed

What could not be told: event 839 named losses that are strong evidence alone, and a job given up without one was logged as an ordinary decision, without event 839 and without the count jobs.givenUp. Event 838 named the worker, but no task. So the hypotheses about jobs given up for weak evidence could not be told apart.

Change: LossKind says how a loss was observed; 838 lists what the loss says about each task (charged), 839 all losses of the task, with the number of strong and weak ones. Decisions are unchanged: what was strong evidence is strong, by the same conditions.

Test: TestVerdictNamesEveryLoss.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -47,6 +47,8 @@
 	longestRun time.Duration
 	// unresolved lists the workers on which the outcome of an attempt is unknown, because its lease expired or an earlier owner left it there.
 	unresolved []WorkerID
+	// history lists all losses with what was known of them, for the log.
+	history []LossRecord
 }
 
 // weighted returns the number of losses, in which two or three that are weak or unresolved count as one or two.
@@ -72,6 +74,8 @@
 	recentStart, onProbation, soleJob bool
 	// aliveAt is when the worker is last known to have been alive. An attempt that was on it then is known to have run until then.
 	aliveAt time.Time
+	// kind says how the loss was observed.
+	kind LossKind
 }
 
 // connBreak records when the connections of a worker broke.
@@ -90,6 +94,8 @@
 	MaxPriorLosses int
 	// ExemptReason says why the loss is not charged to the tasks. It is empty if the loss is charged.
 	ExemptReason string
+	// Charges lists what the loss says about each of up to maxLoggedCharges attempts. It is empty if there is an ExemptReason.
+	Charges []Charge
 }
 
 // chargeLoss charges the loss of a worker to the tasks on it, unless the worker had announced that it would leave. ended means that the worker's
@@ -113,6 +119,14 @@
 	}
 	loss.SinceStart = failedAt.Sub(newest)
 	defer cr.trackPendingLoss(wk, cr.affectedJobs(wk.info.ID, affected))
+	// Assess all attempts before charging any, since a charge changes which attempts count as settled.
+	assessed := make([]evidence, len(affected))
+	for at, pl := range affected {
+		assessed[at] = cr.assessLoss(wk, affected, pl, failedAt, newest, ended, otherCause)
+	}
+	if loss.ExemptReason == "" {
+		loss.Charges = chargesOf(affected, assessed)
+	}
 	if len(affected) > 0 {
 		cr.opts.Log(Decision{What: "worker lost with tasks", Worker: wk.info.ID, Why: why, PollAge: now.Sub(wk.polledAt), Loss: &loss})
 	}
@@ -121,11 +135,6 @@
 		cr.releaseSuspects(now, wk)
 		return
 	}
-	// Assess all attempts before charging any, since a charge changes which attempts count as settled.
-	assessed := make([]evidence, len(affected))
-	for at, pl := range affected {
-		assessed[at] = cr.assessLoss(wk, affected, pl, failedAt, newest, otherCause)
-	}
 	for at, pl := range affected {
 		cr.charge(now, pl, assessed[at])
 	}
@@ -134,12 +143,34 @@
 }
 
 // assessLoss returns the evidence that the loss of a worker gives about an attempt on it. newest is the time of the last start on the worker.
-func (cr *Core) assessLoss(wk *worker, affected []*placement, pl *placement, failedAt, newest time.Time, otherCause bool) evidence {
+func (cr *Core) assessLoss(wk *worker, affected []*placement, pl *placement, failedAt, newest time.Time, ended, otherCause bool) evidence {
 	recent := failedAt.Sub(pl.orderedAt) <= suspectWindow
-	// A worker that never acknowledged the start may have ended before it. A worker that timed out may have ended after the attempt. An attempt that
-	// had run for some time beside one just started is the less likely cause.
-	strong := !pl.ackedAt.IsZero() && wk.connBroken && !otherCause && !cr.inMassBreak(wk, failedAt) && (recent || failedAt.Sub(newest) > suspectWindow)
-	return evidence{strong: strong, onlyCandidate: cr.onlyJobOnWorker(wk, affected, pl), recentStart: recent, onProbation: recent && pl.onProbation(), soleJob: onlyJobStarted(affected, pl, failedAt), aliveAt: wk.aliveAt}
+	kind := cr.lossKind(wk, pl, failedAt, newest, ended, otherCause)
+	return evidence{
+		kind: kind, strong: kind.strong(), onlyCandidate: cr.onlyJobOnWorker(wk, affected, pl), recentStart: recent,
+		onProbation: recent && pl.onProbation(), soleJob: onlyJobStarted(affected, pl, failedAt), aliveAt: wk.aliveAt,
+	}
+}
+
+// lossKind returns how the loss of a worker was observed for an attempt on it.
+func (cr *Core) lossKind(wk *worker, pl *placement, failedAt, newest time.Time, ended, otherCause bool) LossKind {
+	switch {
+	case pl.ackedAt.IsZero():
+		return LossUnacknowledged
+	case !ended:
+		return LossUnconfirmed
+	case otherCause:
+		return LossOtherCause
+	case !wk.connBroken:
+		return LossInSilence
+	case cr.inMassBreak(wk, failedAt):
+		return LossOfSeveral
+	case failedAt.Sub(pl.orderedAt) <= suspectWindow:
+		return LossAfterStart
+	case failedAt.Sub(newest) > suspectWindow:
+		return LossWhileRunning
+	}
+	return LossBesideStart
 }
 
 // affectedAttempts returns the attempts that the loss of the worker may have ended: those on it, and those whose lease expired while the worker
@@ -224,6 +255,7 @@
 		return
 	}
 	ts.losses.add(pl.worker.info.ID, ev)
+	ts.losses.record(pl.worker.info.ID, ev.kind)
 	if ev.strong && ev.recentStart && !pl.step.spec.LongRunning {
 		cr.markCrashLoop(now, js.spec.Queue)
 	}
@@ -238,7 +270,7 @@
 		}
 	}
 	if ts.losses.conclusive(ev) {
-		cr.failCrashingJob(now, pl, ts.losses.workers)
+		cr.failCrashingJob(now, pl, ts.losses)
 	}
 }
 
@@ -264,11 +296,11 @@
 }
 
 // failCrashingJob fails a job whose task crashes its workers.
-func (cr *Core) failCrashingJob(now time.Time, pl *placement, lost []WorkerID) {
+func (cr *Core) failCrashingJob(now time.Time, pl *placement, lo losses) {
 	js := pl.step.job
 	js.state, js.endedAt = job.Failed, now
 	cr.urgentSave = true
-	cr.opts.Log(Decision{What: "job failed", Task: pl.task, Attempt: pl.attempt, Worker: pl.worker.info.ID, Why: "workers end under its task", LostWorkers: slices.Clone(lost)})
+	cr.opts.Log(Decision{What: "job failed", Task: pl.task, Attempt: pl.attempt, Worker: pl.worker.info.ID, Why: "workers end under its task", Verdict: &Verdict{Strong: len(lo.workers), Weak: lo.weak, History: slices.Clone(lo.history)}})
 }
 
 // stored returns the losses in the form in which they are saved for the next owner.
@@ -288,6 +320,10 @@
 	}
 	for _, id := range saved.Workers {
 		lo.workers = append(lo.workers, WorkerID(id))
+		lo.record(WorkerID(id), LossRestored)
+	}
+	for range lo.weak {
+		lo.record("", LossRestored)
 	}
 	return lo
 }
--- a/cell/crashloop_test.go
+++ b/cell/crashloop_test.go
@@ -96,7 +96,7 @@
 		bd.answerOrder(st, Done)
 	}
 	js := bd.core.jobs["j"]
-	bd.core.failCrashingJob(bd.now, js.runs[0].steps[0].tasks[0].placement, nil)
+	bd.core.failCrashingJob(bd.now, js.runs[0].steps[0].tasks[0].placement, losses{})
 	bd.core.markDirty(js)
 	var save *Save
 	for _, od := range bd.plan() {
--- /dev/null
+++ b/cell/losskind.go
@@ -0,0 +1,95 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// LossKind says how the loss of a worker was observed for an attempt on it, which decides what the loss says about the attempt's task.
+type LossKind string
+
+const (
+	// LossAfterStart: the connections broke within suspectWindow after the start.
+	LossAfterStart LossKind = "connections broke right after its start"
+	// LossWhileRunning: the connections broke, and nothing had recently been started on the worker.
+	LossWhileRunning LossKind = "connections broke while it ran"
+	// LossBesideStart: the connections broke right after the start of another task.
+	LossBesideStart LossKind = "connections broke right after another start"
+	// LossOfSeveral: the connections of several workers broke at the same time.
+	LossOfSeveral LossKind = "several workers ended at once"
+	// LossInSilence: the worker ended without breaking its connections.
+	LossInSilence LossKind = "worker ended in silence"
+	// LossOtherCause: the registration had been removed, or the machine was wanted elsewhere.
+	LossOtherCause LossKind = "worker was leaving its pool"
+	// LossUnconfirmed: the worker stopped answering for good, and nobody knows whether it has ended.
+	LossUnconfirmed LossKind = "end of the worker not confirmed"
+	// LossUnacknowledged: the worker had not acknowledged the start, so it may have ended before.
+	LossUnacknowledged LossKind = "start not acknowledged"
+	// LossUnresolved: an earlier owner, or an expired lease, had left the attempt on the worker.
+	LossUnresolved LossKind = "attempt was left there"
+	// LossRestored: the loss was recorded by an earlier owner. Rows do not hold the kind.
+	LossRestored LossKind = "recorded by an earlier owner"
+	// LossSettled: a long-running task had run for too long to be the cause. It is not charged.
+	LossSettled LossKind = "not charged, had run for long"
+)
+
+// maxLoggedCharges bounds the length of a log line about a loss.
+const maxLoggedCharges = 24
+
+// strong reports whether the loss is strong evidence against the task.
+func (lk LossKind) strong() bool { return lk == LossAfterStart || lk == LossWhileRunning }
+
+// LossRecord is one loss of a task. Worker is empty if it is not known any more.
+type LossRecord struct {
+	Worker WorkerID `json:"worker,omitempty"`
+	Kind   LossKind `json:"kind"`
+}
+
+// Verdict is the evidence on which a job was failed.
+type Verdict struct {
+	// Strong and Weak are the numbers of losses of each strength.
+	Strong, Weak int
+	// History lists the losses in the order in which they were charged.
+	History []LossRecord
+}
+
+// Charge is what the loss of a worker says about one attempt on it.
+type Charge struct {
+	Job     job.ID      `json:"job"`
+	Task    string      `json:"task"`
+	Attempt job.Attempt `json:"attempt"`
+	Kind    LossKind    `json:"kind"`
+	// RanMillis is how long the attempt is known to have run.
+	RanMillis int64 `json:"ranMillis"`
+}
+
+// record adds a loss to the history.
+func (lo *losses) record(id WorkerID, kind LossKind) {
+	lo.history = append(slices.Clone(lo.history), LossRecord{id, kind})
+}
+
+// chargesOf returns what the log says about the attempts on a lost worker.
+func chargesOf(affected []*placement, assessed []evidence) []Charge {
+	var list []Charge
+	for at, pl := range affected {
+		if len(list) == maxLoggedCharges {
+			break
+		}
+		kind := assessed[at].kind
+		if pl.settled(assessed[at].aliveAt) {
+			kind = LossSettled
+		}
+		list = append(list, Charge{pl.task.Job, job.TaskKey(pl.task), pl.attempt, kind, pl.ranUntil(assessed[at].aliveAt).Milliseconds()})
+	}
+	return list
+}
+
+// ranUntil returns how long an attempt is known to have run if its worker was alive at a time.
+func (pl *placement) ranUntil(at time.Time) time.Duration {
+	if pl.ackedAt.IsZero() {
+		return 0
+	}
+	return max(0, at.Sub(pl.ackedAt))
+}
--- a/cell/model_crash_test.go
+++ b/cell/model_crash_test.go
@@ -157,8 +157,8 @@
 	switch {
 	case dc.Loss != nil:
 		md.tracef("lost %s: %+v, %s", dc.Worker, *dc.Loss, dc.Why)
-	case len(dc.LostWorkers) > 0:
-		md.tracef("%v given up after %v", dc.Task, dc.LostWorkers)
+	case dc.Verdict != nil:
+		md.tracef("%v given up after %v", dc.Task, dc.Verdict.History)
 	case dc.What == "start" && dc.Why != "room and turn":
 		md.tracef("%v starts alone on %s", dc.Task, dc.Worker)
 	}
--- a/cell/options.go
+++ b/cell/options.go
@@ -48,8 +48,8 @@
 	PollAge time.Duration
 	// Loss is set if a worker ended while it had tasks.
 	Loss *Loss
-	// LostWorkers is set if a job fails because workers end while they run its task.
-	LostWorkers []WorkerID
+	// Verdict is set if a job fails because workers end while they run its task.
+	Verdict *Verdict
 	// LossCount is the number of workers that had ended while running the task when it was started.
 	LossCount int
 }
--- a/cell/unresolved.go
+++ b/cell/unresolved.go
@@ -16,7 +16,7 @@
 	for _, js := range cr.openJobs {
 		for st, at := range js.unresolvedOn(id) {
 			// The attempt may have ended well before its worker.
-			cr.chargeUnplaced(now, st, at, id, evidence{})
+			cr.chargeUnplaced(now, st, at, id, evidence{kind: LossUnresolved})
 		}
 	}
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -80,8 +80,8 @@
 	WriteWaited          = Kind{835, "write of a cell's owner waited", zapcore.InfoLevel, "Nothing if temporary; ended tasks and new workers of the cell are delayed by the same time."}
 	BytesMoved           = Kind{836, "bytes moved by this instance's connections", zapcore.InfoLevel, "Nothing; `out` and `in` count since the last line, `kinds` lists the calls with the most bytes (out/in). Compare them with the capacity of the link."}
 	PayloadMissing       = Kind{837, "payload of a job is not to be had", zapcore.WarnLevel, "Nothing if temporary; tasks of the job wait until the instance that accepted it or the store answers."}
-	WorkerLost           = Kind{838, "worker ended with tasks on it", zapcore.WarnLevel, "Nothing if rare. If the field `before` rises, a task crashes the workers that start it."}
-	JobGivenUp           = Kind{839, "job given up: workers end under its task", zapcore.ErrorLevel, "Notify the owner of the queue: the task crashed the workers in the field `lost`."}
+	WorkerLost           = Kind{838, "worker ended with tasks on it", zapcore.WarnLevel, "Nothing if rare. If the field `before` rises, a task crashes the workers that start it. The field `charged` says what the end means for each task."}
+	JobGivenUp           = Kind{839, "job given up: workers end under its task", zapcore.ErrorLevel, "Notify the owner of the queue. The field `lost` names the workers that ended under the task and how each end was observed."}
 	QueuePaused          = Kind{840, "queue paused by an operator", zapcore.WarnLevel, "Nothing; no tasks are started and no jobs are accepted until the queue is resumed. The field `why` is the reason."}
 	QueueResumed         = Kind{841, "queue goes on", zapcore.InfoLevel, "Nothing."}
 	KeyRejected          = Kind{842, "call without a key that the configuration holds refused", zapcore.WarnLevel, "Compare the fingerprint with `aspenseam organisations list --keys`; `none` means that the call had no key."}
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -98,12 +98,12 @@
 	if dc.Loss != nil {
 		fl.metrics.workersLost.Inc(1)
 		fl.metrics.tasksLost.Inc(int64(dc.Loss.Tasks))
-		fl.opts.Log.Emit(event.WorkerLost, append(fields, zap.Int("tasks", dc.Loss.Tasks), zap.Duration("sinceStart", dc.Loss.SinceStart), zap.Int("before", dc.Loss.MaxPriorLosses), zap.String("excuse", dc.Loss.ExemptReason))...)
+		fl.opts.Log.Emit(event.WorkerLost, append(fields, zap.Int("tasks", dc.Loss.Tasks), zap.Duration("sinceStart", dc.Loss.SinceStart), zap.Int("before", dc.Loss.MaxPriorLosses), zap.String("excuse", dc.Loss.ExemptReason), zap.Any("charged", dc.Loss.Charges))...)
 		return
 	}
-	if len(dc.LostWorkers) > 0 {
+	if dc.Verdict != nil {
 		fl.metrics.givenUp.Inc(1)
-		fl.opts.Log.Emit(event.JobGivenUp, append(fields, zap.Any("lost", dc.LostWorkers))...)
+		fl.opts.Log.Emit(event.JobGivenUp, append(fields, zap.Int("strong", dc.Verdict.Strong), zap.Int("weak", dc.Verdict.Weak), zap.Any("lost", dc.Verdict.History))...)
 		return
 	}
 	fl.opts.Log.Emit(event.CellDecided, fields...)
