Jobs are no longer failed for losses at which their task was not observed to run

What callers saw: jobs that could be done were failed.

Cause: one count of losses of any kind served both for caution and for the verdict. Starts that never reached a worker, ends nobody read and crashes of neighbours counted like crashes, and nothing took them back.

In the model, kinds of losses printed beside what had really happened: innocent tasks had mostly unacknowledged starts and attempts left by earlier owners, guilty ones mostly acknowledged starts.

Change: four losses fail a job if its task was observed to run at three of them, five otherwise; losses with a far likelier cause do not count up to twelve and are withdrawn when the other job is failed; an end of its own or a longer run drops weak losses; rows tell which attempts were started (docs/DESIGN.md). Why it holds: the starts stay bounded by five, and what decides is what an owner saw.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -28,9 +28,18 @@
 	connBreaksBeforeSave = 2
 	// maxConnBreaks is how many broken connections are remembered to detect mass breaks.
 	maxConnBreaks = 256
-	// maxLosses is the number of losses of any kind after which a job fails. It bounds the starts of a task that can never be proved to be the
-	// cause.
-	maxLosses = 4
+	// maxLosses is the number of losses of any kind after which a job fails if its task was observed to run at observedForVerdict of them.
+	// maxUncertainLosses is the number after which it fails in any case, and maxExplainedLosses the same if losses with a likelier cause are counted.
+	// They bound the starts of a task that can never be proved to be the cause. With one bound for all, neighbours that crash workers, and starts
+	// that were never carried out, fail jobs that can be done.
+	maxLosses          = 4
+	maxUncertainLosses = 5
+	maxExplainedLosses = 12
+	observedForVerdict = 3
+	// survivalFactor is how many times longer than at any of its losses a task must be seen to run for its weak losses to be dropped, and
+	// minSurvival is the shortest such time. A task that crashes its workers does so again after about the same time.
+	survivalFactor = 2
+	minSurvival    = 2 * time.Second
 )
 
 // losses records the workers that were lost while a task was on them.
@@ -40,6 +49,11 @@
 	// was leaving.
 	workers []WorkerID
 	weak    int
+	// observed is the number of weak losses at which the task was observed to run on the worker until its end. explained is the number of those that
+	// another task is by far the likelier cause of.
+	observed, explained int
+	// lostAfter is the longest time that an attempt is known to have run when its worker was lost.
+	lostAfter time.Duration
 	// suspect means that the task may have caused one of the losses. late means that one came some time after the start of the task. soleJob means
 	// that at one of them only tasks of this job had recently been started on the worker.
 	suspect, late, soleJob bool
@@ -47,6 +61,8 @@
 	longestRun time.Duration
 	// unresolved lists the workers on which the outcome of an attempt is unknown, because its lease expired or an earlier owner left it there.
 	unresolved []WorkerID
+	// started lists those of the unresolved workers that are known to have started the attempt.
+	started []WorkerID
 	// history lists all losses with what was known of them, for the log.
 	history []LossRecord
 }
@@ -64,6 +80,26 @@
 // total returns the number of losses, strong and weak.
 func (lo losses) total() int { return len(lo.workers) + lo.weak }
 
+// reachesLimit reports whether the losses, and some more, are enough to fail the job whatever is known of them.
+func (lo losses) reachesLimit(more int) bool {
+	limit := maxUncertainLosses
+	if len(lo.workers)+lo.observed >= observedForVerdict {
+		limit = maxLosses
+	}
+	return lo.total()-lo.explained+more >= limit || lo.total()+more >= maxExplainedLosses
+}
+
+// survivalTime returns how long the task must be seen to run for its weak losses to be dropped.
+func (lo losses) survivalTime() time.Duration {
+	return max(minSurvival, survivalFactor*lo.lostAfter)
+}
+
+// dropWeak drops the weak losses of a task that has since run in a way that speaks against it being their cause.
+func (lo *losses) dropWeak() {
+	lo.weak, lo.observed, lo.explained = 0, 0, 0
+	lo.history = slices.DeleteFunc(slices.Clone(lo.history), func(rec LossRecord) bool { return !slices.Contains(lo.workers, rec.Worker) })
+}
+
 // evidence is what the loss of a worker says about an attempt that was on it.
 type evidence struct {
 	// strong means that the worker was lost while the attempt ran on it, and not together with other workers. onlyCandidate means that nothing else
@@ -72,8 +108,9 @@
 	// recentStart means that the attempt had been started within suspectWindow. onProbation means that it was also on probation. soleJob means that
 	// only tasks of its job had been started recently.
 	recentStart, onProbation, soleJob bool
-	// aliveAt is when the worker is last known to have been alive. An attempt that was on it then is known to have run until then.
+	// aliveAt is when the worker is last known to have been alive. An attempt that was on it then is known to have run until then, for ran.
 	aliveAt time.Time
+	ran     time.Duration
 	// kind says how the loss was observed.
 	kind LossKind
 }
@@ -148,7 +185,7 @@
 	kind := cr.lossKind(wk, pl, failedAt, newest, ended, otherCause)
 	return evidence{
 		kind: kind, strong: kind.strong(), onlyCandidate: cr.onlyJobOnWorker(wk, affected, pl), recentStart: recent,
-		onProbation: recent && pl.onProbation(), soleJob: onlyJobStarted(affected, pl, failedAt), aliveAt: wk.aliveAt,
+		onProbation: recent && pl.onProbation(), soleJob: onlyJobStarted(affected, pl, failedAt), aliveAt: wk.aliveAt, ran: pl.ranUntil(wk.aliveAt),
 	}
 }
 
@@ -170,6 +207,9 @@
 	case failedAt.Sub(newest) > suspectWindow:
 		return LossWhileRunning
 	}
+	if pl.ranUntil(wk.aliveAt) >= minSurvival {
+		return LossExplained
+	}
 	return LossBesideStart
 }
 
@@ -264,9 +304,10 @@
 	if pl.step.spec.Gang {
 		// The members of a gang only start together, and it is unknown which of them caused the loss.
 		for at := range pl.step.tasks {
-			unresolved := pl.step.tasks[at].losses.unresolved
-			pl.step.tasks[at].losses = ts.losses
-			pl.step.tasks[at].losses.unresolved = unresolved
+			member := &pl.step.tasks[at].losses
+			unresolved, started := member.unresolved, member.started
+			*member = ts.losses
+			member.unresolved, member.started = unresolved, started
 		}
 	}
 	if ts.losses.conclusive(ev) {
@@ -280,16 +321,23 @@
 		lo.workers = append(lo.workers, id)
 	} else {
 		lo.weak++
+		if ev.kind.observed() {
+			lo.observed++
+		}
+		if ev.kind == LossExplained {
+			lo.explained++
+		}
 	}
+	lo.lostAfter = max(lo.lostAfter, ev.ran)
 	lo.late = lo.late || !ev.strong || !ev.recentStart
 	lo.soleJob = lo.soleJob || ev.strong && ev.recentStart && ev.soleJob
 	lo.suspect = lo.suspect || ev.strong && ev.recentStart || lo.weighted() >= isolationLosses
 }
 
 // conclusive reports whether the newest loss is enough to fail the job. That is the case if, after an earlier loss, the worker was lost right
-// after the task had been started there by itself, if it is the third loss with nothing else on the worker, or if the task has reached maxLosses.
+// after the task had been started there by itself, if it is the third loss with nothing else on the worker, or if the task has reached the limit.
 func (lo *losses) conclusive(ev evidence) bool {
-	if lo.total() >= maxLosses {
+	if lo.reachesLimit(0) {
 		return true
 	}
 	return ev.onlyCandidate && ev.strong && (ev.onProbation && len(lo.workers) >= isolationLosses || len(lo.workers) > isolationLosses)
@@ -300,12 +348,42 @@
 	js := pl.step.job
 	js.state, js.endedAt = job.Failed, now
 	cr.urgentSave = true
+	cr.withdrawExplained(lo.workers)
 	cr.opts.Log(Decision{What: "job failed", Task: pl.task, Attempt: pl.attempt, Worker: pl.worker.info.ID, Why: "workers end under its task", Verdict: &Verdict{Strong: len(lo.workers), Weak: lo.weak, History: slices.Clone(lo.history)}})
 }
 
+// withdrawExplained withdraws the losses that tasks have for workers which another job has now been failed for.
+func (cr *Core) withdrawExplained(workers []WorkerID) {
+	for _, js := range cr.openJobs {
+		for _, rn := range js.runs {
+			for _, st := range rn.steps {
+				for at := range st.tasks {
+					if st.tasks[at].losses.withdrawExplained(workers) {
+						cr.markDirty(js)
+					}
+				}
+			}
+		}
+	}
+}
+
+// withdrawExplained withdraws the explained losses of some workers. It reports whether there were any.
+func (lo *losses) withdrawExplained(workers []WorkerID) bool {
+	if lo.explained == 0 {
+		return false
+	}
+	before := len(lo.history)
+	lo.history = slices.DeleteFunc(slices.Clone(lo.history), func(rec LossRecord) bool {
+		return rec.Kind == LossExplained && slices.Contains(workers, rec.Worker)
+	})
+	withdrawn := before - len(lo.history)
+	lo.explained, lo.weak = lo.explained-withdrawn, lo.weak-withdrawn
+	return withdrawn > 0
+}
+
 // stored returns the losses in the form in which they are saved for the next owner.
 func (lo losses) stored() job.Losses {
-	saved := job.Losses{WeakCount: lo.weak, Suspect: lo.suspect, Late: lo.late, LongestRun: lo.longestRun}
+	saved := job.Losses{WeakCount: lo.weak, ObservedCount: lo.observed, ExplainedCount: lo.explained, LostAfter: lo.lostAfter, Suspect: lo.suspect, Late: lo.late, LongestRun: lo.longestRun}
 	for _, id := range lo.workers {
 		saved.Workers = append(saved.Workers, string(id))
 	}
@@ -314,9 +392,9 @@
 
 // restoreLosses returns the losses that an earlier owner saved.
 func restoreLosses(saved job.Losses) losses {
-	lo := losses{weak: saved.WeakCount, suspect: saved.Suspect, late: saved.Late, longestRun: saved.LongestRun}
+	lo := losses{weak: saved.WeakCount, observed: saved.ObservedCount, explained: saved.ExplainedCount, lostAfter: saved.LostAfter, suspect: saved.Suspect, late: saved.Late, longestRun: saved.LongestRun}
 	if saved.LegacyUnresolved != "" {
-		lo.markUnresolved(WorkerID(saved.LegacyUnresolved))
+		lo.markUnresolved(WorkerID(saved.LegacyUnresolved), false)
 	}
 	for _, id := range saved.Workers {
 		lo.workers = append(lo.workers, WorkerID(id))
--- a/cell/losskind.go
+++ b/cell/losskind.go
@@ -17,6 +17,8 @@
 	LossWhileRunning LossKind = "connections broke while it ran"
 	// LossBesideStart: the connections broke right after the start of another task.
 	LossBesideStart LossKind = "connections broke right after another start"
+	// LossExplained: the same, and the attempt had run for minSurvival by then, so that the other task is by far the likelier cause.
+	LossExplained LossKind = "connections broke right after another start, had run for some time"
 	// LossOfSeveral: the connections of several workers broke at the same time.
 	LossOfSeveral LossKind = "several workers ended at once"
 	// LossInSilence: the worker ended without breaking its connections.
@@ -27,8 +29,10 @@
 	LossUnconfirmed LossKind = "end of the worker not confirmed"
 	// LossUnacknowledged: the worker had not acknowledged the start, so it may have ended before.
 	LossUnacknowledged LossKind = "start not acknowledged"
-	// LossUnresolved: an earlier owner, or an expired lease, had left the attempt on the worker.
+	// LossUnresolved: an earlier owner, or an expired lease, had left the attempt on the worker. It may never have been started.
 	LossUnresolved LossKind = "attempt was left there"
+	// LossUnresolvedRun: the same, and the worker is known to have started the attempt.
+	LossUnresolvedRun LossKind = "started attempt was left there"
 	// LossRestored: the loss was recorded by an earlier owner. Rows do not hold the kind.
 	LossRestored LossKind = "recorded by an earlier owner"
 	// LossSettled: a long-running task had run for too long to be the cause. It is not charged.
@@ -41,6 +45,15 @@
 // strong reports whether the loss is strong evidence against the task.
 func (lk LossKind) strong() bool { return lk == LossAfterStart || lk == LossWhileRunning }
 
+// observed reports whether the task is known to have run on the worker until that ended, with no other task that is by far the likelier cause.
+func (lk LossKind) observed() bool {
+	switch lk {
+	case LossBesideStart, LossOfSeveral, LossInSilence, LossOtherCause, LossUnresolvedRun:
+		return true
+	}
+	return lk.strong()
+}
+
 // LossRecord is one loss of a task. Worker is empty if it is not known any more.
 type LossRecord struct {
 	Worker WorkerID `json:"worker,omitempty"`
--- a/cell/place.go
+++ b/cell/place.go
@@ -244,7 +244,7 @@
 			waits = true
 			continue
 		}
-		if ts.losses.total()+len(ts.losses.unresolved) >= maxLosses {
+		if ts.losses.reachesLimit(len(ts.losses.unresolved)) {
 			// One more loss would reach the limit. The task waits until its unresolved attempts are known not to be losses.
 			waits = true
 			continue
--- a/cell/pollresult.go
+++ b/cell/pollresult.go
@@ -123,6 +123,7 @@
 		pl.phase = running
 		pl.ackedAt = now
 	}
+	cr.recordStarted(pl)
 	cr.recordSurvival(pl, wk.aliveAt)
 	cr.recordProgress(pl, wk.polledAt, rn.Progress)
 	pl.progress = rn.Progress
--- a/cell/probation.go
+++ b/cell/probation.go
@@ -45,10 +45,17 @@
 // recordSurvival records that a worker answers while an attempt runs on it. Over time this clears the task of suspicion.
 func (cr *Core) recordSurvival(pl *placement, sent time.Time) {
 	ts := &pl.step.tasks[pl.task.Index]
-	if !pl.suspect || pl.ackedAt.IsZero() {
+	if pl.ackedAt.IsZero() {
 		return
 	}
 	ran := sent.Sub(pl.ackedAt)
+	if ts.losses.weak > 0 && ran >= ts.losses.survivalTime() {
+		ts.losses.dropWeak()
+		cr.markDirty(pl.step.job)
+	}
+	if !pl.suspect {
+		return
+	}
 	if span, ends := ts.losses.probationTime(); ends && ran >= span {
 		pl.probationPassed = true
 	}
@@ -59,7 +66,7 @@
 	pl.probationPassed = true
 	if ran >= ts.losses.settleTime() && ts.losses.suspected() {
 		// A long-running task outlives many workers, so earlier losses do not count against it.
-		ts.losses = losses{longestRun: ts.losses.longestRun, unresolved: ts.losses.unresolved}
+		ts.losses = losses{longestRun: ts.losses.longestRun, unresolved: ts.losses.unresolved, started: ts.losses.started}
 		cr.markDirty(pl.step.job)
 	}
 }
--- a/cell/progress.go
+++ b/cell/progress.go
@@ -65,30 +65,37 @@
 
 // saveUnresolved adds the workers on which the next owner may not find a task any more.
 func (st *step) saveUnresolved(pg *job.Progress, at int) {
-	key := job.StepKey(st.run, st.index)
-	for _, id := range st.tasks[at].unresolvedLosses().unresolved {
-		if pg.Unresolved == nil {
-			pg.Unresolved = map[string]map[string]job.Bitset{}
+	key, lo := job.StepKey(st.run, st.index), st.tasks[at].unresolvedLosses()
+	pg.Unresolved = addAttempts(pg.Unresolved, lo.unresolved, key, at)
+	pg.Started = addAttempts(pg.Started, lo.started, key, at)
+}
+
+// addAttempts adds a task of a step to the tasks with an attempt on each of some workers.
+func addAttempts(attempts map[string]map[string]job.Bitset, workers []WorkerID, key string, at int) map[string]map[string]job.Bitset {
+	for _, id := range workers {
+		if attempts == nil {
+			attempts = map[string]map[string]job.Bitset{}
 		}
-		steps := pg.Unresolved[string(id)]
+		steps := attempts[string(id)]
 		if steps == nil {
 			steps = map[string]job.Bitset{}
-			pg.Unresolved[string(id)] = steps
+			attempts[string(id)] = steps
 		}
 		bits := steps[key]
 		bits.Set(at)
 		steps[key] = bits
 	}
+	return attempts
 }
 
 // restoreUnresolved restores the workers on which the outcome of attempts is unknown.
 func (st *step) restoreUnresolved(pg *job.Progress) {
 	key := job.StepKey(st.run, st.index)
 	for _, id := range slices.Sorted(maps.Keys(pg.Unresolved)) {
-		bits := pg.Unresolved[id][key]
+		bits, started := pg.Unresolved[id][key], pg.Started[id][key]
 		for at := range st.tasks {
 			if bits.Has(at) {
-				st.tasks[at].losses.markUnresolved(WorkerID(id))
+				st.tasks[at].losses.markUnresolved(WorkerID(id), started.Has(at))
 				st.job.hasUnresolved = true
 			}
 		}
--- a/cell/task.go
+++ b/cell/task.go
@@ -328,6 +328,8 @@
 		wk.failures.succeeded()
 		cr.taskDone(now, st, en.Task)
 	case EndFailed:
+		// The task ended without its worker, which speaks against it having ended the others.
+		ts.losses.dropWeak()
 		cr.taskFailed(now, wk, st, en)
 	default:
 		ts.notBefore = now
--- a/cell/unresolved.go
+++ b/cell/unresolved.go
@@ -16,7 +16,11 @@
 	for _, js := range cr.openJobs {
 		for st, at := range js.unresolvedOn(id) {
 			// The attempt may have ended well before its worker.
-			cr.chargeUnplaced(now, st, at, id, evidence{kind: LossUnresolved})
+			kind := LossUnresolved
+			if slices.Contains(st.tasks[at].losses.started, id) {
+				kind = LossUnresolvedRun
+			}
+			cr.chargeUnplaced(now, st, at, id, evidence{kind: kind})
 		}
 	}
 }
@@ -74,14 +78,40 @@
 
 // resolve marks the outcome of the attempt on a worker as known.
 func (lo *losses) resolve(id WorkerID) {
-	lo.unresolved = slices.DeleteFunc(slices.Clone(lo.unresolved), func(other WorkerID) bool { return other == id })
+	lo.unresolved = without(lo.unresolved, id)
+	lo.started = without(lo.started, id)
+}
+
+// markUnresolved marks the outcome of the attempt on a worker as unknown. started means that the worker is known to have started it.
+func (lo *losses) markUnresolved(id WorkerID, started bool) {
+	lo.unresolved = with(lo.unresolved, id)
+	if started {
+		lo.started = with(lo.started, id)
+	}
+}
+
+// with returns a list that contains a worker, and without one that does not. The list passed is not changed.
+func with(list []WorkerID, id WorkerID) []WorkerID {
+	if slices.Contains(list, id) {
+		return list
+	}
+	return append(slices.Clone(list), id)
 }
 
-// markUnresolved marks the outcome of the attempt on a worker as unknown.
-func (lo *losses) markUnresolved(id WorkerID) {
-	if !slices.Contains(lo.unresolved, id) {
-		lo.unresolved = append(slices.Clone(lo.unresolved), id)
+func without(list []WorkerID, id WorkerID) []WorkerID {
+	return slices.DeleteFunc(slices.Clone(list), func(other WorkerID) bool { return other == id })
+}
+
+// recordStarted saves that a start with an intent was carried out. Should this owner and the worker end together, the next owner can tell the
+// attempt from one that was never started. Only tasks that have lost workers are worth a save of their own.
+func (cr *Core) recordStarted(pl *placement) {
+	lossCount := pl.step.tasks[pl.task.Index].losses.total()
+	if pl.startRecorded || !pl.intentSaved && lossCount == 0 {
+		return
 	}
+	pl.startRecorded = true
+	cr.markDirty(pl.step.job)
+	cr.urgentSave = cr.urgentSave || lossCount > 0
 }
 
 // saveAfterConnBreaks saves what was on a worker after its connections broke twice in a row. The worker may have ended, and the next owner has no
@@ -100,10 +130,10 @@
 func (ts *taskState) unresolvedLosses() losses {
 	lo := ts.losses
 	if in := ts.intent; in != nil {
-		lo.markUnresolved(in.worker)
+		lo.markUnresolved(in.worker, false)
 	}
 	if pl := ts.placement; pl != nil && (pl.intentSaved || pl.suspect || pl.worker.failedPolls >= connBreaksBeforeSave && pl.worker.connBroken) {
-		lo.markUnresolved(pl.worker.info.ID)
+		lo.markUnresolved(pl.worker.info.ID, !pl.ackedAt.IsZero())
 	}
 	return lo
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -62,8 +62,8 @@
 	metric         int
 	throttle       int
 	throttleSentAt time.Time
-	// intentSaved means that an intent was saved before the start.
-	intentSaved bool
+	// intentSaved means that an intent was saved before the start. startRecorded means that a save was ordered after the start was acknowledged.
+	intentSaved, startRecorded bool
 	// suspect means that workers were lost under its task before. probationPassed means that this attempt has run for long enough without a loss.
 	suspect, probationPassed bool
 }
@@ -355,7 +355,7 @@
 	for _, pl := range wk.placed {
 		cr.release(now, pl, "its lease has expired")
 		cr.trackLateStart(now, pl)
-		pl.step.tasks[pl.task.Index].losses.markUnresolved(wk.info.ID)
+		pl.step.tasks[pl.task.Index].losses.markUnresolved(wk.info.ID, !pl.ackedAt.IsZero())
 		pl.step.job.hasUnresolved = true
 		cr.markDirty(pl.step.job)
 		cr.holdSuspect(now, pl)
--- a/job/progress.go
+++ b/job/progress.go
@@ -27,6 +27,8 @@
 	// Unresolved holds the tasks with an attempt whose outcome is unknown, by incarnation of the worker and StepKey. The attempt was about to be started
 	// on the worker, or was running there when the worker stopped responding.
 	Unresolved map[string]map[string]Bitset `json:"open,omitempty"`
+	// Started holds those of the unresolved attempts that their workers are known to have started, in the same form.
+	Started map[string]map[string]Bitset `json:"started,omitempty"`
 }
 
 // Losses describes the workers that ended while running a task.
@@ -35,6 +37,12 @@
 	Workers []string `json:"workers,omitempty"`
 	// WeakCount is the number of other incarnations that ended, which are weak evidence that the task was the cause.
 	WeakCount int `json:"weak,omitempty"`
+	// ObservedCount is the number of these at which the task was observed to run on the worker until its end.
+	ObservedCount int `json:"observed,omitempty"`
+	// ExplainedCount is the number of them that another task is by far the likelier cause of.
+	ExplainedCount int `json:"explained,omitempty"`
+	// LostAfter is the longest time that an attempt is known to have run when its worker ended.
+	LostAfter time.Duration `json:"lostAfter,omitempty"`
 	// Late means that one of them ended some time after it started the task.
 	Late bool `json:"late,omitempty"`
 	// Suspect means that the task may have caused one of them.
