Verdicts on jobs: a strong loss counts as two observed ones

Three observed ones were asked for, so a fifth trial was made.

Change: a loss that is strong evidence counts as two observed ones. Why it holds: the start that went beyond the bound needed two losses that were observed and weak, and an unseen one besides.

TestLimitOfLosses.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -28,7 +28,8 @@
 	connBreaksBeforeSave = 2
 	// maxConnBreaks is how many broken connections are remembered to detect mass breaks.
 	maxConnBreaks = 256
-	// maxLosses is the number of losses of any kind after which a job fails if its task was observed to run at observedForVerdict of them.
+	// maxLosses is the number of losses of any kind after which a job fails if its task was observed to run at observedForVerdict of them, of which a
+	// strong one counts as strongLossWeight.
 	// maxUncertainLosses is the number after which it fails in any case, and maxExplainedLosses the same if losses with a likelier cause are counted.
 	// They bound the starts of a task that can never be proved to be the cause. With one bound for all, neighbours that crash workers, and starts
 	// that were never carried out, fail jobs that can be done.
@@ -36,6 +37,7 @@
 	maxUncertainLosses = 5
 	maxExplainedLosses = 12
 	observedForVerdict = 3
+	strongLossWeight   = 2
 	// survivalFactor is how many times longer than at any of its losses a task must be seen to run for its weak losses to be dropped, and
 	// minSurvival is the shortest such time. A task that crashes its workers does so again after about the same time.
 	survivalFactor = 2
@@ -83,7 +85,7 @@
 // reachesLimit reports whether the losses, and some more, are enough to fail the job whatever is known of them.
 func (lo losses) reachesLimit(more int) bool {
 	limit := maxUncertainLosses
-	if len(lo.workers)+lo.observed >= observedForVerdict {
+	if strongLossWeight*len(lo.workers)+lo.observed >= observedForVerdict {
 		limit = maxLosses
 	}
 	return lo.total()-lo.explained+more >= limit || lo.total()+more >= maxExplainedLosses
--- a/cell/losskind_test.go
+++ b/cell/losskind_test.go
@@ -119,3 +119,32 @@
 		t.Errorf("the losses are %+v after twice the longest run, want the strong one alone", ts.losses)
 	}
 }
+
+// Guards against a change of what is enough to fail a job whatever is known of its losses.
+func TestLimitOfLosses(t *testing.T) {
+	for _, tc := range []struct {
+		strong, observed, unobserved, explained int
+		want                                    bool
+	}{
+		{0, 3, 0, 0, false}, {0, 3, 1, 0, true}, {0, 2, 2, 0, false}, {0, 0, 5, 0, true},
+		{1, 1, 2, 0, true}, {1, 0, 3, 0, false}, {2, 0, 2, 0, true}, {2, 0, 1, 0, false},
+		{0, 3, 0, 8, false}, {0, 3, 0, 9, true}, {0, 0, 0, 11, false}, {0, 0, 0, 12, true},
+	} {
+		var lo losses
+		for range tc.strong {
+			lo.add("s", evidence{strong: true, kind: LossWhileRunning})
+		}
+		for range tc.observed {
+			lo.add("o", evidence{kind: LossInSilence})
+		}
+		for range tc.unobserved {
+			lo.add("u", evidence{kind: LossUnacknowledged})
+		}
+		for range tc.explained {
+			lo.add("e", evidence{kind: LossExplained})
+		}
+		if got := lo.reachesLimit(0); got != tc.want {
+			t.Errorf("%+v reaches the limit: %t, want %t", tc, got, tc.want)
+		}
+	}
+}
--- a/cell/model_run_test.go
+++ b/cell/model_run_test.go
@@ -133,3 +133,11 @@
 func TestModelOfLooksAtTheLifeBefore(t *testing.T) {
 	playModel(t, 82000457, newModel(82000457, true))
 }
+
+// TestModelGivesUpForCrashesAloneWhatIsLeft replays worlds in which a job is still given up for starts that were never carried out and ends that
+// nobody read, since too little of four or five losses in a row could be observed.
+func TestModelGivesUpForCrashesAloneWhatIsLeft(t *testing.T) {
+	for _, seed := range []int64{7702151, 7703313, 7703436} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playWorld(t, seed) })
+	}
+}
