--- a/cell/losskind.go
+++ b/cell/losskind.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/aspenseam/aspenseam/job"
@@ -78,11 +77,6 @@
 	RanMillis int64 `json:"ranMillis"`
 }
 
-// record adds a loss to the history.
-func (lo *losses) record(id WorkerID, kind LossKind) {
-	lo.history = append(slices.Clone(lo.history), LossRecord{id, kind})
-}
-
 // chargesOf returns what the log says about the attempts on a lost worker.
 func chargesOf(affected []*placement, assessed []evidence) []Charge {
 	var list []Charge
--- a/cell/unresolved.go
+++ b/cell/unresolved.go
@@ -76,32 +76,6 @@
 	}
 }
 
-// resolve marks the outcome of the attempt on a worker as known.
-func (lo *losses) resolve(id WorkerID) {
-	lo.unresolved = without(lo.unresolved, id)
-	lo.started = without(lo.started, id)
-}
-
-// markUnresolved marks the outcome of the attempt on a worker as unknown. started means that the worker is known to have started it.
-func (lo *losses) markUnresolved(id WorkerID, started bool) {
-	lo.unresolved = with(lo.unresolved, id)
-	if started {
-		lo.started = with(lo.started, id)
-	}
-}
-
-// with returns a list that contains a worker, and without one that does not. The list passed is not changed.
-func with(list []WorkerID, id WorkerID) []WorkerID {
-	if slices.Contains(list, id) {
-		return list
-	}
-	return append(slices.Clone(list), id)
-}
-
-func without(list []WorkerID, id WorkerID) []WorkerID {
-	return slices.DeleteFunc(slices.Clone(list), func(other WorkerID) bool { return other == id })
-}
-
 // recordStarted saves that a start with an intent was carried out. Should this owner and the worker end together, the next owner can tell the
 // attempt from one that was never started. Only tasks that have lost workers are worth a save of their own.
 func (cr *Core) recordStarted(pl *placement) {
