Acknowledged starts of tasks without a loss are saved along with something else

Cause: after a takeover each start has an intent, and since each acknowledged one marked its job for a save of its own, so that rows of ended tasks waited behind them.

Change: only tasks that have lost workers get a save for it; the others' rows tell of the start whenever they are saved.

--- a/cell/model_run_test.go
+++ b/cell/model_run_test.go
@@ -140,4 +140,5 @@
 	for _, seed := range []int64{7702151, 7703313, 7703436} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playWorld(t, seed) })
 	}
+	t.Run("8801092", func(t *testing.T) { playModel(t, 8801092, newModel(8801092, true)) })
 }
--- a/cell/unresolved.go
+++ b/cell/unresolved.go
@@ -76,16 +76,16 @@
 	}
 }
 
-// recordStarted saves that a start with an intent was carried out. Should this owner and the worker end together, the next owner can tell the
-// attempt from one that was never started. Only tasks that have lost workers are worth a save of their own.
+// recordStarted saves that a start was carried out if the task has lost workers before. Should this owner and the worker end together, the next
+// owner can tell the attempt from one that was never started. For other tasks that is saved only along with something else, since after a takeover
+// there are many of them.
 func (cr *Core) recordStarted(pl *placement) {
-	lossCount := pl.step.tasks[pl.task.Index].losses.total()
-	if pl.startRecorded || !pl.intentSaved && lossCount == 0 {
+	if pl.startRecorded || pl.step.tasks[pl.task.Index].losses.total() == 0 {
 		return
 	}
 	pl.startRecorded = true
 	cr.markDirty(pl.step.job)
-	cr.urgentSave = cr.urgentSave || lossCount > 0
+	cr.urgentSave = true
 }
 
 // saveAfterConnBreaks saves what was on a worker after its connections broke twice in a row. The worker may have ended, and the next owner has no
