Workers of evacuated data halls get no new tasks

Cause: neither the adapter nor the cells knew evacuations.

Change: the adapter reads the requests in the operator's table, and `aspenseam halls` writes its own in the control table; a hall is evacuated while either asks. Its workers are no candidates for any start, its machines are no room for pools and come first in waves, starts still queued at a worker or a peer are returned as not sent, an owner starts nothing before it has read the operator's rows, also after it stood still. Jobs are refused at once while all halls are evacuated. Cold workers get a growing part of their room.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -32,12 +32,14 @@
 	Machine MachineID
 	Pool    job.PoolID
 	Address string
-	Hall    string
+	Hall    job.HallID
 	Rack    string
 	Labels  []string
 	Room    job.Size
 	// Draining means that the worker takes no new tasks and will leave.
 	Draining bool
+	// ColdFor is how much longer the worker is slow after its start, counted from when the registration was read.
+	ColdFor time.Duration
 	// WrittenAt is when the registration was last written, or zero if that is unknown.
 	WrittenAt time.Time
 	// Unschedulable means that the registration does not describe a usable worker any more, although nothing says that the worker leaves. It gets no
@@ -99,9 +101,12 @@
 	plannedAt time.Time
 	// clockOffset is the difference between the time of day, in which due times are given, and the owner's clock.
 	clockOffset time.Duration
-	// stallSeenAt is when the owner last detected that it had stalled. registrationsAt is the time as of which the registrations are known.
-	stallSeenAt, registrationsAt time.Time
-	cordons                      map[WorkerName]bool
+	// stallSeenAt is when the owner last detected that it had stalled. registrationsAt and evacuationsAt are the times as of which the registrations
+	// and the evacuated data halls are known.
+	stallSeenAt, registrationsAt, evacuationsAt time.Time
+	cordons                                     map[WorkerName]bool
+	// evacuatedHalls are the data halls whose workers get no new tasks.
+	evacuatedHalls map[job.HallID]bool
 	// reservedUntil says until when workers get no new tasks because their machines are about to move.
 	reservedUntil map[WorkerName]time.Time
 	urgentSave    bool
@@ -244,6 +249,9 @@
 // RegistrationsRead records the time as of which the registrations are known.
 func (cr *Core) RegistrationsRead(at time.Time) { cr.registrationsAt = latest(cr.registrationsAt, at) }
 
+// EvacuationsRead records the time as of which the evacuated data halls are known.
+func (cr *Core) EvacuationsRead(at time.Time) { cr.evacuationsAt = latest(cr.evacuationsAt, at) }
+
 // stalledAfter is the gap between two plans from which on the owner counts as stalled. It normally plans at least four times a second. After a
 // stall the known rooms and states may be older than the users allow.
 const stalledAfter = 2 * time.Second
@@ -260,10 +268,10 @@
 // a call that waits up to a second.
 const maxRegistrationLag = 2 * time.Second
 
-// upToDate reports whether the confirmation of the ownership and the registrations are newer than the last stall. After an outage of the store
+// upToDate reports whether the confirmation of the ownership, the registrations and the evacuated data halls are newer than the last stall. After an outage of the store
 // the ownership may be confirmed before the core learns of rooms that shrank meanwhile.
 func (cr *Core) upToDate() bool {
-	return !cr.confirmedAt.Before(cr.stallSeenAt) && !cr.registrationsAt.Before(cr.stallSeenAt) && cr.confirmedAt.Sub(cr.registrationsAt) <= maxRegistrationLag
+	return !cr.confirmedAt.Before(cr.stallSeenAt) && !cr.registrationsAt.Before(cr.stallSeenAt) && !cr.evacuationsAt.Before(cr.stallSeenAt) && cr.confirmedAt.Sub(cr.registrationsAt) <= maxRegistrationLag
 }
 
 // Configure sets the queues. Queues that are gone keep their last policy for the jobs that they have accepted.
--- a/cell/load.go
+++ b/cell/load.go
@@ -57,9 +57,18 @@
 func (cr *Core) Load(now time.Time) Load {
 	ld := Load{Pool: cr.pool, Epoch: cr.epoch, OpenJobs: len(cr.openJobs), Slack: cr.minSlack()}
 	unit := cr.unit()
+	// staying is the room of the long-running tasks in evacuated data halls, which need no machine elsewhere.
+	staying := 0.0
 	for _, wk := range cr.sortedWorkers {
+		evacuated := cr.evacuated(wk)
 		for _, pl := range wk.placed {
 			part := unit.shareOf(pl.room)
+			if evacuated {
+				if pl.step.spec.LongRunning {
+					staying += part
+				}
+				continue
+			}
 			ld.Placed += part
 			if pl.step.spec.LongRunning {
 				ld.LongRunning += part
@@ -68,12 +77,13 @@
 		if !wk.registered || cr.cordoned(now, wk) {
 			continue
 		}
-		load := WorkerLoad{ID: wk.info.ID, Machine: wk.info.Machine, Usable: !wk.info.Draining && !wk.info.Unschedulable && wk.failedPolls == 0}
+		load := WorkerLoad{ID: wk.info.ID, Machine: wk.info.Machine, Usable: !wk.info.Draining && !wk.info.Unschedulable && !evacuated && wk.failedPolls == 0}
 		if len(wk.placements) == 0 && len(wk.foreign) == 0 && wk.fenced {
 			load.Idle = now.Sub(wk.busyAt) + 1
 		}
 		ld.Workers = append(ld.Workers, load)
 	}
+	ld.Demand, ld.UrgentDemand = -staying, -staying
 	ld.FullQueues = cr.fullQueues(now, unit)
 	for _, js := range cr.openJobs {
 		if !js.ended() && !cr.pausedQueues[js.spec.Queue] {
@@ -85,6 +95,7 @@
 			ld.MinWorkers = max(ld.MinWorkers, js.minWorkers())
 		}
 	}
+	ld.Demand, ld.UrgentDemand = max(0, ld.Demand), max(0, ld.UrgentDemand)
 	return ld
 }
 
--- a/cell/model_fault_test.go
+++ b/cell/model_fault_test.go
@@ -18,7 +18,7 @@
 	switch md.rnd.Intn(10) {
 	case 0:
 		// A freeze is never shortened, because events that wait for its end would then be late.
-		ow.frozenUntil = latest(ow.frozenUntil, md.now.Add(md.millis(100, 9000)))
+		ow.freeze(md.now, md.millis(100, 9000))
 		md.tracef("owner %d freezes until %v", ow.epoch, ow.frozenUntil)
 		md.schedule(ow.frozenUntil.Sub(md.now)+time.Millisecond, func() { md.plan(ow) })
 	case 1:
@@ -46,6 +46,13 @@
 	}
 }
 
+// freeze freezes an owner. A freeze is never shortened.
+func (ow *modelOwner) freeze(now time.Time, duration time.Duration) {
+	until := latest(ow.frozenUntil, now.Add(duration))
+	ow.longFrozen = until.Sub(now) > longFreeze
+	ow.frozenUntil = until
+}
+
 // cutWorkers cuts an owner off from some workers.
 func (md *model) cutWorkers(ow *modelOwner) {
 	for _, wk := range md.allWorkers() {
@@ -156,7 +163,7 @@
 		case 0:
 			md.claimCell()
 		case 1:
-			cur.frozenUntil = latest(cur.frozenUntil, md.now.Add(md.millis(100, 9000)))
+			cur.freeze(md.now, md.millis(100, 9000))
 			md.schedule(cur.frozenUntil.Sub(md.now)+time.Millisecond, func() { md.plan(cur) })
 			md.claimCell()
 		case 2:
--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -97,10 +97,16 @@
 	rowVersion  int64
 	dead        bool
 	frozenUntil time.Time
+	// longFrozen means that the last freeze was one that the owner must notice itself.
+	longFrozen bool
 	// storeCutUntil and workerCutUntil are when the owner can reach the store and the workers again.
 	storeCutUntil  time.Time
 	workerCutUntil map[WorkerID]time.Time
-	nextPlan       time.Time
+	// evacuatedHalls are the data halls that the owner was told are evacuated.
+	evacuatedHalls map[job.HallID]bool
+	// evacuationsReadAt is when it was last told which data halls are evacuated.
+	evacuationsReadAt time.Time
+	nextPlan          time.Time
 	// queriedAt is when the owner last queried which incarnations have ended.
 	queriedAt time.Time
 }
@@ -126,8 +132,11 @@
 	ordersOutliveIncarnations bool
 	// denseFaults means that owners fail right after ends, crashes, lost orders and starts of workers.
 	denseFaults bool
-	owners      []*modelOwner
-	version     int64
+	// evacuations means that data halls are evacuated and restored. evacuatedSince is since when they are.
+	evacuations    bool
+	evacuatedSince map[job.HallID]time.Time
+	owners         []*modelOwner
+	version        int64
 	// The fields with the prefix row are the content of the cell's row.
 	rowVersion         int64
 	rowEpoch           job.Epoch
@@ -213,13 +222,17 @@
 		name = WorkerName(fmt.Sprintf("w%d", number))
 	}
 	clockStart, startMillis := time.Unix(1_700_000_000, 0), int64(0)
+	hall := job.HallID("")
+	if md.evacuations {
+		hall = modelHalls[number%len(modelHalls)]
+	}
 	if md.namesReused {
 		clockStart, startMillis = md.now, md.now.UnixMilli()
 	}
 	id := NewWorkerID(name, startMillis)
 	wk := &modelWorker{
 		clockStart: clockStart,
-		info:       Worker{ID: id, Pool: modelPool, Address: address, Rack: fmt.Sprintf("r%d", md.rnd.Intn(2)), Room: job.Size{CPUMillis: modelRoom, MemoryMB: 4000}},
+		info:       Worker{ID: id, Pool: modelPool, Address: address, Hall: hall, Rack: fmt.Sprintf("r%d", md.rnd.Intn(2)), Room: job.Size{CPUMillis: modelRoom, MemoryMB: 4000}},
 		alive:      true, clockRate: 1 - 0.02*md.rnd.Float64(), runs: map[job.Task]*modelRun{}, finishedAttempts: map[job.Task]job.Attempt{},
 	}
 	md.workers[id], md.incarnations = wk, append(md.incarnations, wk)
@@ -322,6 +335,7 @@
 		}
 	}
 	ow.core.WorkersRecorded(md.rowWorkers)
+	md.beginEvacuationPolls(ow)
 	for _, id := range md.jobOrder {
 		md.addJobTo(ow, id)
 	}
@@ -413,6 +427,7 @@
 	if md.ownsRow(ow) && md.now.After(ow.storeCutUntil) {
 		ow.core.OwnershipConfirmed(md.now)
 		ow.core.RegistrationsRead(md.now.Add(-registrationDelayMillis * time.Millisecond))
+		ow.core.EvacuationsRead(md.evacuationsKnownAt(ow))
 	}
 	for _, od := range ow.core.Plan(md.now) {
 		md.dispatch(ow, od)
@@ -461,6 +476,7 @@
 			}
 		})
 	case Start, Stop, Throttle:
+		md.checkOrdered(ow, od)
 		id, token := orderTarget(od)
 		md.callWorker(ow, id, token, func(sent time.Time, wk *modelWorker, failure Outcome) func() {
 			res := OrderResult{Order: od, Sent: sent, Outcome: failure}
@@ -736,6 +752,7 @@
 // with reduced room has.
 func (md *model) finish() {
 	md.faultsOff = true
+	clear(md.evacuatedSince)
 	for _, ow := range md.owners {
 		ow.dead = true
 	}
--- a/cell/order.go
+++ b/cell/order.go
@@ -36,6 +36,8 @@
 		LeaseUntil int64
 		Checkpoint job.Checkpoint
 		Ticket     string
+		// Hall is the data hall of the worker.
+		Hall job.HallID
 	}
 	// Stop stops an attempt.
 	Stop struct {
--- a/cell/place.go
+++ b/cell/place.go
@@ -93,6 +93,8 @@
 	free job.Size
 	// roomUncertain means that the registration is too old to rely on the worker's full room.
 	roomUncertain bool
+	// cold means that the worker is still slow after its start.
+	cold bool
 	// plannedRoom is the room of the tasks that are to start here once there is room.
 	plannedRoom job.Size
 	// recentStarts are the tasks started here recently. It is filled only while some queue is in a crash loop.
@@ -175,7 +177,7 @@
 			continue
 		}
 		room := cr.usableRoom(now, wk)
-		list = append(list, &candidate{worker: wk, free: room.Sub(wk.used), roomUncertain: room != wk.info.Room})
+		list = append(list, &candidate{worker: wk, free: wk.coldRoom(now, room).Sub(wk.used), roomUncertain: room != wk.info.Room, cold: wk.cold(now)})
 	}
 	return withoutSlow(now, list)
 }
@@ -183,7 +185,7 @@
 // acceptsTasks reports whether a worker may receive new tasks.
 func (cr *Core) acceptsTasks(now time.Time, wk *worker) bool {
 	switch {
-	case cr.leaving(now, wk) || cr.cordoned(now, wk) || wk.info.Unschedulable:
+	case cr.leaving(now, wk) || cr.cordoned(now, wk) || wk.info.Unschedulable || cr.evacuated(wk):
 		return false
 	case !wk.fenced || !wk.recorded || wk.clockAt.IsZero() || wk.failedPolls > 0 || wk.startUnsettled:
 		return false
@@ -313,6 +315,7 @@
 		rd.free = machineSize(job.Size(rd.free).Sub(room))
 	}
 	if unplaced > 0 {
+		cr.noteEvacuationWait(now, st)
 		rd.recordNoRoom(room)
 		cr.planAhead(rd, st, waiting)
 		cr.preempt(rd, st, unplaced)
@@ -379,6 +382,9 @@
 	if sp.DataRack != "" && cd.info.Rack != sp.DataRack {
 		cost += weightRemote
 	}
+	if cd.cold {
+		cost += weightCold
+	}
 	if st.tasks[at].avoid == cd.info.ID {
 		cost += weightAvoid
 	}
@@ -447,6 +453,6 @@
 	cr.opts.Log(Decision{What: "start", Task: tk, Attempt: attempt, Worker: wk.info.ID, Token: pl.token, Why: why, PollAge: now.Sub(wk.polledAt), LossCount: ts.losses.total()})
 	cr.order(Start{
 		Worker: wk.info.ID, Address: wk.info.Address, Token: pl.token, Task: tk, Attempt: attempt,
-		Payload: st.job.spec.Payload, PayloadAt: st.job.spec.Acceptor, LeaseUntil: until, Checkpoint: ts.checkpoint, Ticket: st.tickets[wk.info.ID],
+		Payload: st.job.spec.Payload, PayloadAt: st.job.spec.Acceptor, LeaseUntil: until, Checkpoint: ts.checkpoint, Ticket: st.tickets[wk.info.ID], Hall: wk.info.Hall,
 	})
 }
--- a/cell/registry.go
+++ b/cell/registry.go
@@ -16,6 +16,7 @@
 	if !wk.registrationRead && !registration.WrittenAt.IsZero() && now.Sub(registration.WrittenAt) > cr.opts.RegistrationMaxAge {
 		wk.roomUncertainUntil = now.Add(RegistrationRenewal)
 	}
+	wk.observeCold(now, registration.ColdFor)
 	wk.info, wk.registered, wk.registrationRead, wk.unregisteredAt = registration, true, true, time.Time{}
 }
 
--- a/cell/stall_test.go
+++ b/cell/stall_test.go
@@ -7,7 +7,7 @@
 	"github.com/aspenseam/aspenseam/job"
 )
 
-// An owner that stalled for three seconds has outdated rooms and ownership. It starts nothing until both are confirmed again.
+// An owner that stalled for three seconds has outdated rooms, evacuations and ownership. It starts nothing until all are confirmed again.
 func TestNothingIsStartedAfterAStallUntilConfirmed(t *testing.T) {
 	bd := newTestBed(t, 2)
 	bd.addJob("before", testEpoch, taskStep(1))
@@ -18,6 +18,8 @@
 	bd.core.OwnershipConfirmed(bd.now)
 	bd.wantStarts(bd.planUnconfirmed(), 0)
 	bd.core.RegistrationsRead(bd.now)
+	bd.wantStarts(bd.planUnconfirmed(), 0)
+	bd.core.EvacuationsRead(bd.now)
 	bd.wantStarts(bd.planUnconfirmed(), 1)
 }
 
--- a/cell/task.go
+++ b/cell/task.go
@@ -70,6 +70,8 @@
 	tasks        []taskState
 	done         int
 	waitingSince time.Time
+	// evacuationNoted means that the log says that the step waits for an evacuated data hall.
+	evacuationNoted bool
 	// preempting lists the tasks that are being stopped to make room for this step.
 	preempting []*placement
 	// longestRun is the longest run time of a task of the step.
--- a/cell/testbed_test.go
+++ b/cell/testbed_test.go
@@ -56,6 +56,7 @@
 func (bd *testBed) plan() []Order {
 	bd.core.OwnershipConfirmed(bd.now)
 	bd.core.RegistrationsRead(bd.now)
+	bd.core.EvacuationsRead(bd.now)
 	return bd.planUnconfirmed()
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -89,6 +89,8 @@
 	unregisteredAt   time.Time
 	// roomUncertainUntil is until when only a part of the room is counted on, because the registration was already old when it was first read.
 	roomUncertainUntil time.Time
+	// coldSince and coldUntil are the period after its start in which the worker is slow.
+	coldSince, coldUntil time.Time
 	// recorded means that the cell's row names the worker. recording means that a write that names it was ordered.
 	recorded  bool
 	recording bool
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -88,6 +88,8 @@
 	KeyShared            = Kind{843, "key held by several organisations; it counts as the first one's, by name", zapcore.ErrorLevel, "Give one of them another key; the fingerprint is in the field `key`."}
 	AccountRejected      = Kind{844, "account of an organisation could not be read", zapcore.ErrorLevel, "Check who wrote the account: an entry instance of another version, or another writer. The organisation starts nothing beyond the allowances that cells already hold."}
 	WorkerReborn         = Kind{845, "worker started again under its name", zapcore.InfoLevel, "Nothing; `worker` and `before` are the new and the previous incarnation. Tasks of the previous one are restarted on other workers."}
+	HallEvacuated        = Kind{846, "data hall evacuated by an operator", zapcore.WarnLevel, "Nothing; no tasks are started there until the hall is restored. Running tasks continue. The field `why` is the reason, empty if the platform's operator gave none."}
+	HallRestored         = Kind{847, "data hall restored", zapcore.InfoLevel, "Nothing; its workers get tasks again, fewer while they are cold."}
 	JobKnown             = Kind{829, "job was accepted before", zapcore.InfoLevel, "Nothing; the caller's retry refers to the same job."}
 )
 
@@ -104,5 +106,5 @@
 	CellClaimed, CellLoaded, CellLost, CellReleased, ClaimFailed, ReleaseFailed, SaveFailed, CellDecided,
 	JobAccepted, JobRefused, JobCancelled, AdviceFailed, PeerSilent, CarryRejected,
 	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown, RelayLost, HallCutOff, HallReached,
-	StoreSlow, JobUnsure, WriteWaited, BytesMoved, PayloadMissing, WorkerLost, JobGivenUp, QueuePaused, QueueResumed, KeyRejected, KeyShared, AccountRejected, WorkerReborn,
+	StoreSlow, JobUnsure, WriteWaited, BytesMoved, PayloadMissing, WorkerLost, JobGivenUp, QueuePaused, QueueResumed, KeyRejected, KeyShared, AccountRejected, WorkerReborn, HallEvacuated, HallRestored,
 }
--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -17,6 +17,9 @@
 	"github.com/aspenseam/aspenseam/machine"
 )
 
+// noneEvacuated reports that no data hall is evacuated.
+func noneEvacuated(job.HallID) bool { return false }
+
 // testTimeout bounds how long a test waits for a condition, testPollInterval is how often it checks the condition.
 const (
 	testTimeout      = 60 * time.Second
@@ -379,6 +382,16 @@
 	}
 	return &job.Configuration{Version: rw.Version, Queues: []job.Queue{testQueue}, Pools: []job.Pool{{ID: "pool"}}}, nil
 }
+func (testFormat) Evacuation(rw Row) (job.HallID, error) {
+	hall, _ := strings.CutPrefix(rw.Key, "hall/")
+	if string(rw.Value) == unreadableRegistration {
+		return "", errors.New("evacuation cannot be decoded")
+	}
+	if hall == rw.Key {
+		hall = ""
+	}
+	return job.HallID(hall), nil
+}
 func (testFormat) Wave(Row) (*machine.Wave, error) { return nil, nil }
 func (testFormat) Worker(rw Row) (cell.Worker, error) {
 	if string(rw.Value) == unreadableRegistration {
@@ -455,7 +468,7 @@
 	if cl.format != nil {
 		format = cl.format
 	}
-	fl := New(Options{Name: name, Hall: hall, Address: ln.Addr().String(), Store: store, Workers: workers, Machines: noMachines{}, Format: format, SinglePartTx: store.singlePartTx})
+	fl := New(Options{Name: name, Hall: job.HallID(hall), Address: ln.Addr().String(), Store: store, Workers: workers, Machines: noMachines{}, Format: format, SinglePartTx: store.singlePartTx})
 	srv := &http.Server{Handler: fl.Handler()}
 	go func() {
 		// Serve returns when the test closes the server.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,7 +55,9 @@
 type Options struct {
 	// Name is the name of the entry instance.
 	Name string
-	Hall string
+	Hall job.HallID
+	// Halls are all data halls.
+	Halls []job.HallID
 	// Address is the IP and port under which other entry instances reach this one.
 	Address     string
 	Incarnation string
@@ -111,7 +113,8 @@
 	// readers is the pool of goroutines that read the parts of tables.
 	readers pond.Pool
 	// paused holds the queues that an operator has paused. The map is replaced, never changed.
-	paused atomic.Pointer[map[job.QueueID]bool]
+	paused      atomic.Pointer[map[job.QueueID]bool]
+	evacuations evacuationSet
 	// relayIDs numbers the orders that are relayed to peers.
 	relayIDs atomic.Uint64
 	// background is the context of Run, for work that outlives a call.
@@ -214,6 +217,9 @@
 		fl.applyConfiguration(cf)
 		return
 	}
+	if fl.applyOperatorEvacuation(rw) {
+		return
+	}
 	wv, err := fl.opts.Format.Wave(rw)
 	if err != nil {
 		fl.opts.Log.Emit(event.OperatorRowRejected, zap.String("key", rw.Key), zap.Error(err))
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -161,6 +161,11 @@
 		fl.logJob(event.JobRefused, sp.ID, zap.String("why", "its pool does not have the capacity to run it in time"), zap.Duration("comeBack", delay))
 		return Refused, delay
 	}
+	if fl.allHallsEvacuated() {
+		fl.metrics.refused.Inc(1)
+		fl.logJob(event.JobRefused, sp.ID, zap.String("why", "all data halls are evacuated"), zap.Duration("comeBack", evacuatedRetryAfter))
+		return Refused, evacuatedRetryAfter
+	}
 	if fl.pausedQueues()[sp.Queue] {
 		fl.metrics.refused.Inc(1)
 		fl.logJob(event.JobRefused, sp.ID, zap.String("why", "its queue is paused by an operator"), zap.Duration("comeBack", pausedRetryAfter))
--- a/fleet/machinecontroller.go
+++ b/fleet/machinecontroller.go
@@ -175,6 +175,7 @@
 		rc := ct.records[number]
 		ct.waveRunner.Begin(now, wv, rc.Done, rc.Finished)
 	}
+	ct.waveRunner.SetEvacuatedHalls(ct.fl.evacuatedHalls())
 	for _, dr := range drains {
 		ct.waveRunner.Adopt(machine.Drain{Machine: dr.Machine, Worker: dr.Worker, Pool: dr.Pool, Wave: dr.Wave, Since: now, Empty: ct.drained[dr.Worker], Inherited: dr.version < ct.row.version})
 	}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -17,11 +17,11 @@
 
 // node is the row of an entry instance in the control table.
 type node struct {
-	Name        string `json:"name"`
-	Address     string `json:"address"`
-	Hall        string `json:"hall"`
-	Incarnation string `json:"incarnation"`
-	Heartbeats  int64  `json:"beat"`
+	Name        string     `json:"name"`
+	Address     string     `json:"address"`
+	Hall        job.HallID `json:"hall"`
+	Incarnation string     `json:"incarnation"`
+	Heartbeats  int64      `json:"beat"`
 	// Power is the instance's share of a core. Cells are distributed in proportion to it.
 	Power   float64 `json:"power,omitempty"`
 	Leaving bool    `json:"leaving,omitempty"`
@@ -110,6 +110,8 @@
 			fl.controller.applyWaveRecord(rw)
 		case strings.HasPrefix(rw.Key, pausePrefix):
 			fl.applyPause(rw)
+		case strings.HasPrefix(rw.Key, evacuationPrefix):
+			fl.applyEvacuation(rw)
 		}
 	}
 	for _, ow := range fl.allOwners() {
--- a/fleet/orderqueue.go
+++ b/fleet/orderqueue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/aspenseam/aspenseam/cell"
+	"github.com/aspenseam/aspenseam/job"
 )
 
 // Bounds of the orders in flight to one worker.
@@ -24,6 +25,8 @@
 type orderQueue struct {
 	workers Workers
 	now     func() time.Time
+	// evacuated reports whether the workers of a data hall get no new tasks.
+	evacuated func(hall job.HallID) bool
 	// maxWait bounds how long an order may wait in the queue; 0 means no bound.
 	maxWait time.Duration
 	mu      sync.Mutex // guards the fields below
@@ -40,8 +43,8 @@
 	report   func(cell.OrderResult)
 }
 
-func newOrderQueue(workers Workers, now func() time.Time) *orderQueue {
-	return &orderQueue{workers: workers, now: now}
+func newOrderQueue(workers Workers, now func() time.Time, evacuated func(job.HallID) bool) *orderQueue {
+	return &orderQueue{workers: workers, now: now, evacuated: evacuated}
 }
 
 // enqueue appends an order to the queue.
@@ -75,11 +78,12 @@
 	}
 	qo, oq.queue = oq.queue[0], oq.queue[1:]
 	now := oq.now()
-	_, start := qo.order.(cell.Start)
+	start, isStart := qo.order.(cell.Start)
 	// If the worker does not answer, or the sender has stopped waiting, an order that was not sent can be given to another worker
 	// at once.
 	expired := oq.maxWait > 0 && now.Sub(qo.queuedAt) > oq.maxWait
-	return qo, !expired && !(start && now.Before(oq.pausedUntil)), true
+	blocked := isStart && (now.Before(oq.pausedUntil) || oq.evacuated(start.Hall))
+	return qo, !expired && !blocked, true
 }
 
 // idle reports whether no order is queued or in flight.
--- a/fleet/orderqueue_test.go
+++ b/fleet/orderqueue_test.go
@@ -40,7 +40,7 @@
 // runQueue enqueues a number of starts at once and returns when each one had its outcome, and how often each outcome occurred.
 func runQueue(starts int, loseOrder func(number int) bool) (ends []time.Duration, outcomes map[cell.Outcome]int) {
 	start := time.Now()
-	oq := newOrderQueue(&slowWorkers{loseOrder: loseOrder}, time.Now)
+	oq := newOrderQueue(&slowWorkers{loseOrder: loseOrder}, time.Now, noneEvacuated)
 	outcomes = map[cell.Outcome]int{}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -101,7 +101,7 @@
 func TestOrderThatWaitedTooLongIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sw := &slowWorkers{loseOrder: func(int) bool { return true }}
-		oq := newOrderQueue(sw, time.Now)
+		oq := newOrderQueue(sw, time.Now, noneEvacuated)
 		oq.maxWait = orderTime / 2
 		outcomes := make(chan cell.Outcome, 10)
 		for range 5 {
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -106,6 +106,7 @@
 	}
 	ow.core.WorkersRecorded(row.Workers)
 	ow.core.SetPausedQueues(fl.pausedQueues())
+	ow.core.SetEvacuatedHalls(fl.evacuatedHalls())
 	for _, ar := range fl.knownAccounts() {
 		ow.core.UpdateAccount(ar)
 	}
@@ -209,8 +210,9 @@
 // run passes events to the core and carries out its orders until the context ends.
 func (ow *owner) run(ctx context.Context) {
 	defer close(ow.done)
-	// The core treats a worker without a registration as leaving, so wait for the registrations.
-	for ctx.Err() == nil && !(ow.jobs.loaded() && ow.fl.registry.loaded()) {
+	// The core treats a worker without a registration as leaving, so wait for the registrations. Without the operator's rows it
+	// would start tasks in data halls that are evacuated.
+	for ctx.Err() == nil && !(ow.jobs.loaded() && ow.fl.registry.loaded() && ow.fl.operator.loaded()) {
 		sleep(ctx, loadPollInterval)
 	}
 	ow.fl.opts.Log.Emit(event.CellLoaded, zap.String("cell", ow.name), zap.Int64("epoch", int64(ow.epoch)))
@@ -241,6 +243,8 @@
 	ow.core.SetTimeOfDay(now, ow.fl.opts.WallClock())
 	_, registered := ow.fl.registry.healthyPeriod()
 	ow.core.RegistrationsRead(registered)
+	_, evacuationsKnown := ow.fl.operator.healthyPeriod()
+	ow.core.EvacuationsRead(evacuationsKnown)
 	for _, ev := range events {
 		ev(ow.core, now)
 	}
@@ -304,7 +308,7 @@
 	defer ow.mu.Unlock()
 	oq, ok := ow.orderQueues[id]
 	if !ok {
-		oq = newOrderQueue(ow.fl.opts.Workers, ow.fl.opts.Now)
+		oq = newOrderQueue(ow.fl.opts.Workers, ow.fl.opts.Now, ow.fl.hallEvacuated)
 		ow.orderQueues[id] = oq
 	}
 	return oq
--- a/fleet/poolsizes.go
+++ b/fleet/poolsizes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"sync"
 	"time"
 
@@ -186,7 +185,7 @@
 			ct.fl.opts.Log.Emit(event.PoolLoad, zap.String("pool", string(ld.Pool)), zap.Float64("needed", ld.Demand), zap.Float64("placed", ld.Placed), zap.Float64("lasting", ld.LongRunning), zap.Duration("slack", ld.Slack), zap.Int("workers", len(ld.Workers)), zap.Int("open", ld.OpenJobs))
 		}
 		ct.mu.Lock()
-		machines := maps.Clone(ct.waveRunner.Machines())
+		machines := ct.fl.outsideEvacuation(ct.waveRunner.Machines())
 		moves := ct.sizer.Plan(now, cf.Pools, machines, loads, ct.waveRunner.Holds)
 		ct.mu.Unlock()
 		ct.moveMachines(ctx, machines, moves)
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -130,7 +130,7 @@
 	defer rl.mu.Unlock()
 	oq, ok := rl.queues[id]
 	if !ok {
-		oq = newOrderQueue(rl.fl.opts.Workers, rl.fl.opts.Now)
+		oq = newOrderQueue(rl.fl.opts.Workers, rl.fl.opts.Now, rl.fl.hallEvacuated)
 		oq.maxWait = relayQueueTimeout
 		rl.queues[id] = oq
 	}
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -61,14 +61,14 @@
 	links := func(count int) []*relayLink {
 		var list []*relayLink
 		for i := range count {
-			list = append(list, &relayLink{node: node{Name: fmt.Sprintf("n%d", i), Hall: fmt.Sprintf("h%d", i%3), Power: 0.2}})
+			list = append(list, &relayLink{node: node{Name: fmt.Sprintf("n%d", i), Hall: job.HallID(fmt.Sprintf("h%d", i%3)), Power: 0.2}})
 		}
 		return list
 	}
 	const workers = 300
 	moved, otherHall := 0, 0
 	for i := range workers {
-		id, hall := fmt.Sprintf("w%d", i), fmt.Sprintf("h%d", i%3)
+		id, hall := fmt.Sprintf("w%d", i), job.HallID(fmt.Sprintf("h%d", i%3))
 		before, after := bestRelay(id, hall, links(12)), bestRelay(id, hall, links(13))
 		if before.node.Name != after.node.Name {
 			moved++
--- a/fleet/relayconvert.go
+++ b/fleet/relayconvert.go
@@ -30,6 +30,7 @@
 		return &peer.RelayOrder{
 			Id: id, Kind: peer.OrderKind_ORDER_START, Worker: string(order.Worker), Address: order.Address, Token: int64(order.Token), Task: toRelayTask(order.Task),
 			Attempt: int32(order.Attempt), Payload: order.Payload, PayloadAt: order.PayloadAt, Until: order.LeaseUntil, Checkpoint: string(order.Checkpoint), Ticket: order.Ticket,
+			Hall: string(order.Hall),
 		}
 	case cell.Stop:
 		return &peer.RelayOrder{
@@ -54,6 +55,7 @@
 		return cell.Start{
 			Worker: id, Address: ro.Address, Token: token, Task: fromRelayTask(ro.Task), Attempt: attempt,
 			Payload: ro.Payload, PayloadAt: ro.PayloadAt, LeaseUntil: ro.Until, Checkpoint: job.Checkpoint(ro.Checkpoint), Ticket: ro.Ticket,
+			Hall: job.HallID(ro.Hall),
 		}
 	case peer.OrderKind_ORDER_STOP:
 		return cell.Stop{Worker: id, Address: ro.Address, Token: token, Task: fromRelayTask(ro.Task), Attempt: attempt}
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -12,6 +12,7 @@
 
 	"github.com/aspenseam/aspenseam/cell"
 	"github.com/aspenseam/aspenseam/event"
+	"github.com/aspenseam/aspenseam/job"
 	"github.com/aspenseam/aspenseam/peer"
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -162,7 +163,7 @@
 }
 
 // bestRelay returns the peer for a worker, preferring peers in the worker's data hall; nil if there are none.
-func bestRelay(worker, hall string, links []*relayLink) *relayLink {
+func bestRelay(worker string, hall job.HallID, links []*relayLink) *relayLink {
 	var best *relayLink
 	var bestWeight float64
 	for _, sameHall := range []bool{true, false} {
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -107,6 +107,9 @@
 	RegistryTable() string
 	// Configuration decodes a row of the operator table. It returns nil if the row is not a configuration.
 	Configuration(rw Row) (*job.Configuration, error)
+	// Evacuation decodes a row of the operator table, also a deleted one. It returns the data hall whose evacuation the row
+	// requests, or an empty name if the row is not such a request.
+	Evacuation(rw Row) (job.HallID, error)
 	// Wave decodes a row of the operator table. It returns nil if the row is not a maintenance wave.
 	Wave(rw Row) (*machine.Wave, error)
 	// Worker decodes a registration.
--- a/fleet/tablewatch.go
+++ b/fleet/tablewatch.go
@@ -194,7 +194,7 @@
 	ctx, cancel := tcp.WithIdleTimeout(ctx, wt.wait+feedTimeoutMargin)
 	defer cancel()
 	sentAt := wt.fl.opts.Now()
-	pg, err := wt.fl.store.Feed(ctx, wt.table, wt.version, wt.wait)
+	pg, err := wt.fl.store.Feed(ctx, wt.table, wt.version, wt.feedWait(sentAt))
 	if err != nil {
 		return err
 	}
@@ -205,6 +205,15 @@
 	return nil
 }
 
+// feedWait returns how long the store may hold the answer to a call. After a stall or an outage the first call is answered at once,
+// since owners start nothing until they know the table as of a time after a stall.
+func (wt *tableWatch) feedWait(sentAt time.Time) time.Duration {
+	if _, until := wt.healthyPeriod(); sentAt.Sub(until) > wt.wait+feedTimeoutMargin {
+		return 0
+	}
+	return wt.wait
+}
+
 // merge merges rows and reports the new ones.
 func (wt *tableWatch) merge(rows []Row, sentAt time.Time) {
 	var changed []Row
--- a/job/job.go
+++ b/job/job.go
@@ -15,6 +15,8 @@
 	QueueID string
 	// PoolID identifies a pool of workers.
 	PoolID string
+	// HallID identifies a data hall.
+	HallID string
 	// Attempt numbers the starts of a task, from 1.
 	Attempt int
 	// Checkpoint refers to the saved work of a task; empty if nothing was saved.
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -24,7 +24,7 @@
 	ID     cell.MachineID
 	Pool   job.PoolID
 	State  State
-	Hall   string
+	Hall   job.HallID
 	Labels []string
 	Rack   string
 	Room   job.Size
--- a/machine/wave.go
+++ b/machine/wave.go
@@ -102,6 +102,8 @@
 	listedAt     time.Time
 	drains       map[cell.MachineID]*Drain
 	superseded   bool
+	// evacuatedHalls are the data halls whose workers get no new tasks.
+	evacuatedHalls map[job.HallID]bool
 }
 
 // NewWaveRunner returns a runner that starts now.
@@ -115,6 +117,10 @@
 // Supersede records that another holder has taken over.
 func (wr *WaveRunner) Supersede() { wr.superseded = true }
 
+// SetEvacuatedHalls sets the data halls whose workers get no new tasks. Maintenance that is due there comes first, since it takes no room
+// from the pools. The caller must not modify the map afterwards.
+func (wr *WaveRunner) SetEvacuatedHalls(halls map[job.HallID]bool) { wr.evacuatedHalls = halls }
+
 // Machines returns the machines of the newest list.
 func (wr *WaveRunner) Machines() map[cell.MachineID]Machine { return wr.machines }
 
@@ -341,14 +347,19 @@
 	limit := max(1, wv.MaxDown) + drainAhead
 	for draining < limit && len(candidates) > 0 {
 		slices.SortStableFunc(candidates, func(one, other Machine) int {
+			if wr.evacuatedHalls[one.Hall] != wr.evacuatedHalls[other.Hall] {
+				return evacuatedFirst(wr.evacuatedHalls[one.Hall])
+			}
 			return cmp.Or(cmp.Compare(fraction(unavailable[one.Pool], size[one.Pool]), fraction(unavailable[other.Pool], size[other.Pool])), cmp.Compare(one.ID, other.ID))
 		})
 		mc := candidates[0]
 		candidates = candidates[1:]
-		if unavailable[mc.Pool] > 0 && fraction(unavailable[mc.Pool]+1, size[mc.Pool]) > maxDrainShare && !wr.behindSchedule(now, wv) {
+		if !wr.evacuatedHalls[mc.Hall] && unavailable[mc.Pool] > 0 && fraction(unavailable[mc.Pool]+1, size[mc.Pool]) > maxDrainShare && !wr.behindSchedule(now, wv) {
 			break
 		}
-		unavailable[mc.Pool]++
+		if !wr.evacuatedHalls[mc.Hall] {
+			unavailable[mc.Pool]++
+		}
 		draining++
 		dr := Drain{Machine: mc.ID, Worker: mc.Worker, Pool: mc.Pool, Wave: wv.Number, Since: now}
 		wr.drains[mc.ID] = &dr
@@ -357,6 +368,14 @@
 	return orders
 }
 
+// evacuatedFirst orders a machine before one in a data hall that is not evacuated.
+func evacuatedFirst(evacuated bool) int {
+	if evacuated {
+		return -1
+	}
+	return 1
+}
+
 // behindSchedule reports whether fewer machines are done than finishShare requires at this time.
 func (wr *WaveRunner) behindSchedule(now time.Time, wv *waveState) bool {
 	elapsed := float64(now.Sub(wv.startedAt)) / float64(wv.Duration)
@@ -369,7 +388,7 @@
 	unavailable, size = map[job.PoolID]int{}, map[job.PoolID]int{}
 	for _, mc := range wr.machines {
 		size[mc.Pool]++
-		if wr.drains[mc.ID] != nil || mc.State != Up {
+		if wr.drains[mc.ID] != nil || mc.State != Up || wr.evacuatedHalls[mc.Hall] {
 			unavailable[mc.Pool]++
 		}
 	}
--- a/main.go
+++ b/main.go
@@ -45,7 +45,7 @@
 	parser := flaggy.NewParser("aspenseam")
 	parser.Description = "Fleet capacity and maintenance manager."
 	parser.Version = version
-	commands := append([]command{entryCommand(), serveCommand(), checkCommand(), standinPlatformCommand(), standinEndpointCommand(), explainCommand(), queuesCommand(), organisationsCommand()}, operatorCommands()...)
+	commands := append([]command{entryCommand(), serveCommand(), checkCommand(), standinPlatformCommand(), standinEndpointCommand(), explainCommand(), queuesCommand(), organisationsCommand(), hallsCommand()}, operatorCommands()...)
 	for _, cm := range commands {
 		parser.AttachSubcommand(cm.sub, 1)
 	}
