Workers in use have rows of their own, so that no row grows with the pool

Cause: an owner kept the workers on which it may have started tasks in the cell's row. From 750 or so workers on the store refused that row (status 400, first at 16.3 s before traffic, then in all four working cells), and with it every write of the owner, for ever. All instances also read that row at each change: 1.36 GB in the 4 s in which the pools' workers registered.

Change: a row for each worker in the table `used`, in the cell's part, read only by an owner that takes over; a head row orders the changes, so that one that the store carries out late cannot undo a later one.

--- a/fleet/archive.go
+++ b/fleet/archive.go
@@ -42,7 +42,8 @@
 }
 
 // earlierCommitVersion returns the version that an earlier attempt of the same transaction wrote, if that attempt is why the
-// conditions do not hold, and 0 otherwise.
+// conditions do not hold, and 0 otherwise. A conflict shows only the rows with conditions, which were written together with the
+// others.
 func earlierCommitVersion(tx Tx, cf *Conflict) int64 {
 	found := map[Place]Row{}
 	for _, rw := range cf.Rows {
@@ -50,8 +51,11 @@
 	}
 	var version int64
 	for _, rw := range tx.Write {
-		now, ok := found[rw.Place()]
-		if !ok || !bytes.Equal(now.Value, rw.Value) || version != 0 && now.Version != version {
+		now, conditional := found[rw.Place()]
+		if !conditional {
+			continue
+		}
+		if !bytes.Equal(now.Value, rw.Value) || version != 0 && now.Version != version {
 			return 0
 		}
 		version = now.Version
--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -26,6 +26,9 @@
 	testPollInterval = 10 * time.Millisecond
 )
 
+// maxRowBytes is the largest row that the store takes. The platform's limit applies to the encoded value, which is a third longer.
+const maxRowBytes = 65536 * 3 / 4
+
 // memStore is an in-memory store, shared by all nodes of a test.
 type memStore struct {
 	mu      sync.Mutex
@@ -53,7 +56,7 @@
 	if conflict {
 		return 0, &cf
 	}
-	if entries := len(tx.Expect) + len(tx.Write) + len(tx.Remove); entries > 100 {
+	if tx.entryCount() > 100 || slices.ContainsFunc(tx.Write, func(rw Row) bool { return len(rw.Value) > maxRowBytes || len(rw.Key) > maxKeyBytes }) {
 		return 0, ErrRefused
 	}
 	ms.version++
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,6 +36,8 @@
 	// tableAccount holds a row for each organisation with a maximum, with the part of the maximum that each cell holds. Owners
 	// follow it.
 	tableAccount = "account"
+	// tableUsed holds the workers on which the owners of each cell may have started tasks, in one part for each cell.
+	tableUsed = "used"
 	// tableJob is the prefix of the tables of open jobs. Each cell uses one table, and several cells may share it.
 	tableJob = "job"
 )
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/aspenseam/aspenseam/cell"
 	"github.com/aspenseam/aspenseam/job"
 )
 
@@ -225,12 +226,19 @@
 }
 
 // TestReleaseBeforeTakeoverKeepsWorkers checks that an owner which releases the cell before its takeover is complete keeps the
-// workers that the cell's row lists.
+// stored workers in use, and does not call the cell released.
 func TestReleaseBeforeTakeoverKeepsWorkers(t *testing.T) {
-	ow := &owner{claimRow: ownerRow{Workers: workerRefs("w7"), UnseenLossEpoch: 6}}
-	if row := ow.handoverRow(); len(row.Workers) != 1 || row.UnseenLossEpoch != 6 || row.Released {
-		t.Fatalf("row %+v", row)
-	}
+	withFakeClock(t, func(ctx context.Context, t *testing.T) {
+		ow, store := startWriter(ctx, t)
+		ow.execute(ctx, cell.RecordWorkers{Workers: workerRefs("w7"), UnseenLossEpoch: 6})
+		time.Sleep(time.Minute)
+		if ow.commitHandover(ctx) {
+			t.Error("the handover claims that no other worker can hold a lease")
+		}
+		if uw := storedUsed(t, store); len(uw.stored) != 1 || uw.head.UnseenLossEpoch != 6 {
+			t.Errorf("stored: %+v", uw)
+		}
+	})
 }
 
 // TestExpiredJobsAreDeleted checks that all rows of a job are deleted after the retention period, and that its state is not
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -46,12 +46,9 @@
 
 // ownerRow is the row of a cell's owner. If its Epoch is 0, the row version is the epoch.
 type ownerRow struct {
-	Holder      string           `json:"holder,omitempty"`
-	Incarnation string           `json:"incarnation,omitempty"`
-	Epoch       job.Epoch        `json:"epoch,omitempty"`
-	Workers     []cell.WorkerRef `json:"workers,omitempty"`
-	// UnseenLossEpoch is the epoch of the owner before which tasks may have been lost with workers that no later owner has seen.
-	UnseenLossEpoch job.Epoch `json:"exposed,omitempty"`
+	Holder      string    `json:"holder,omitempty"`
+	Incarnation string    `json:"incarnation,omitempty"`
+	Epoch       job.Epoch `json:"epoch,omitempty"`
 	// Ordered lists the machines with recent or planned orders of the machine controller, and for how long, from the time the row
 	// was written, the next leader must not send orders for them.
 	Ordered map[cell.MachineID]time.Duration `json:"ordered,omitempty"`
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -56,9 +56,11 @@
 	orderQueues    map[cell.WorkerID]*orderQueue
 	relays         *relays
 	quiescing      bool
-	// claimedAt is when the cell was claimed, claimRow the row that the claim wrote.
+	// used is what the store holds of the workers in use. Only the goroutine that writes them uses it until writers is done.
+	used    *usedWorkers
+	writers sync.WaitGroup
+	// claimedAt is when the cell was claimed.
 	claimedAt time.Time
-	claimRow  ownerRow
 	// takenOver is set once the core knows the state that the previous owner left.
 	takenOver bool
 	// planned is set once the core has planned for the first time.
@@ -70,7 +72,7 @@
 	ow := &owner{
 		fl: fl, name: name, epoch: row.epoch(), cancel: cancel, done: make(chan struct{}), wakeup: make(chan struct{}, 1),
 		writeQueue: newWriteQueue(), storedProgress: map[job.ID]Row{}, orderQueues: map[cell.WorkerID]*orderQueue{},
-		claimedAt: fl.opts.Now(), claimRow: row,
+		claimedAt: fl.opts.Now(), used: newUsedWorkers(name),
 	}
 	ow.relays = newRelays(ow)
 	ow.rowVersion.Store(row.version)
@@ -89,14 +91,15 @@
 	fl.mu.Unlock()
 	fl.registry.wake()
 	fl.accounts.wake()
-	if !ow.loadProgress(ctx) {
+	if !ow.loadState(ctx) {
 		close(ow.done)
 		return
 	}
 	ow.mu.Lock()
 	ow.takenOver = true
-	ow.core.TakeOver(claimedAt, sentAt, previous.Workers, previous.Released)
-	ow.core.NoteUnseenLosses(previous.UnseenLossEpoch)
+	used := ow.used.refs()
+	ow.core.TakeOver(claimedAt, sentAt, used, previous.Released)
+	ow.core.NoteUnseenLosses(ow.used.head.UnseenLossEpoch)
 	if cf := fl.config.Load(); cf != nil {
 		ow.core.Configure(cf.Queues)
 		ow.core.SetOrganisations(cf)
@@ -104,7 +107,7 @@
 	for _, wk := range fl.workerCache.inPool(job.PoolID(name)) {
 		ow.core.Register(claimedAt, wk)
 	}
-	ow.core.WorkersRecorded(row.Workers)
+	ow.core.WorkersRecorded(used)
 	ow.core.SetPausedQueues(fl.pausedQueues())
 	ow.core.SetEvacuatedHalls(fl.evacuatedHalls())
 	for _, ar := range fl.knownAccounts() {
@@ -112,7 +115,7 @@
 	}
 	ow.mu.Unlock()
 	go ow.jobs.run(ctx)
-	go ow.runWrites(ctx)
+	ow.writers.Go(func() { ow.runWrites(ctx) })
 	go ow.runAccounts(ctx)
 	go ow.runArchive(ctx)
 	go ow.checkMachines(ctx)
@@ -131,15 +134,20 @@
 	return options
 }
 
-// loadProgress reads the stored progress of the cell's jobs, retrying until it succeeds. No other owner can write it any more.
-// It reports false if the owner was stopped or lost the cell.
-func (ow *owner) loadProgress(ctx context.Context) bool {
+// loadState reads the stored progress of the cell's jobs and its workers in use. No other owner can write them any more. It
+// reports false if the owner was stopped or lost the cell.
+func (ow *owner) loadState(ctx context.Context) bool {
+	var wg sync.WaitGroup
+	wg.Go(func() { ow.retryRead(ctx, ow.loadUsedWorkers) })
+	ok := ow.retryRead(ctx, ow.loadProgress)
+	wg.Wait()
+	return ok && ctx.Err() == nil && !ow.lost.Load()
+}
+
+// retryRead retries a read until it succeeds. It reports false if the owner was stopped or lost the cell.
+func (ow *owner) retryRead(ctx context.Context, read func(context.Context) error) bool {
 	for ctx.Err() == nil && !ow.lost.Load() {
-		rows, _, err := ow.fl.readPart(ctx, tableProgress, ow.name)
-		if err == nil {
-			for _, rw := range rows {
-				ow.storedProgress[job.ID(rw.Key)] = rw
-			}
+		if err := read(ctx); err == nil {
 			return true
 		}
 		sleep(ctx, writeRetryDelay)
@@ -147,6 +155,22 @@
 	return false
 }
 
+func (ow *owner) loadProgress(ctx context.Context) error {
+	rows, _, err := ow.fl.readPart(ctx, tableProgress, ow.name)
+	for _, rw := range rows {
+		ow.storedProgress[job.ID(rw.Key)] = rw
+	}
+	return err
+}
+
+func (ow *owner) loadUsedWorkers(ctx context.Context) error {
+	used, err := ow.fl.readUsedWorkers(ctx, ow.name)
+	if err == nil {
+		ow.used = used
+	}
+	return err
+}
+
 // applyJobRows applies new jobs and cancellations from the table of open jobs. Several cells may share the table.
 func (ow *owner) applyJobRows(rows []Row, _ time.Time) {
 	for _, rw := range rows {
@@ -382,16 +406,24 @@
 	return saves
 }
 
-// handoverRow returns the cell's row for the next owner. It lists the workers on which this owner or an earlier one may have
-// started tasks. Released means that no worker outside the list can hold a lease. An owner that releases the cell before its
-// takeover is complete passes on the lists that it found.
-func (ow *owner) handoverRow() ownerRow {
+// commitHandover stores the workers on which this owner or an earlier one may have started tasks, for the next owner. It reports
+// whether it did, so that no other worker can hold a lease. An owner that releases the cell before its takeover is complete
+// leaves the rows as it found them. The owner must have been stopped.
+func (ow *owner) commitHandover(ctx context.Context) bool {
+	ow.writers.Wait()
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
 	if !ow.takenOver {
-		return ownerRow{Workers: ow.claimRow.Workers, UnseenLossEpoch: ow.claimRow.UnseenLossEpoch}
+		ow.mu.Unlock()
+		return false
+	}
+	change := ow.used.diff(ow.core.Release(ow.fl.opts.Now()), ow.core.UnseenLossEpoch())
+	ow.mu.Unlock()
+	for !change.isEmpty() {
+		if !ow.commitPart(ctx, nil, &change) {
+			return false
+		}
 	}
-	return ownerRow{Workers: ow.core.Release(ow.fl.opts.Now()), UnseenLossEpoch: ow.core.UnseenLossEpoch(), Released: true}
+	return true
 }
 
 // canMove reports whether the cell can move to another instance: it has been here for some time, nothing of earlier owners is
--- a/fleet/ownership.go
+++ b/fleet/ownership.go
@@ -9,9 +9,7 @@
 	"strconv"
 	"time"
 
-	"github.com/aspenseam/aspenseam/cell"
 	"github.com/aspenseam/aspenseam/event"
-	"github.com/aspenseam/aspenseam/job"
 	"go.uber.org/zap"
 )
 
@@ -208,7 +206,7 @@
 }
 
 func (fl *Fleet) commitClaim(ctx context.Context, name string, old ownerRow) {
-	next := ownerRow{Holder: fl.opts.Name, Incarnation: fl.opts.Incarnation, Workers: fl.mergeWorkers(name, old.Workers), UnseenLossEpoch: old.UnseenLossEpoch, Ordered: old.Ordered}
+	next := ownerRow{Holder: fl.opts.Name, Incarnation: fl.opts.Incarnation, Ordered: old.Ordered}
 	raw, err := json.Marshal(next)
 	if err != nil {
 		fl.opts.Log.Emit(event.ClaimFailed, zap.String("cell", name), zap.Error(err))
@@ -236,7 +234,7 @@
 		fl.members.owners[name], fl.members.ownerChangedAt[name] = next, fl.opts.Now()
 	}
 	fl.members.mu.Unlock()
-	fl.opts.Log.Emit(event.CellClaimed, zap.String("cell", name), zap.Int64("epoch", version), zap.String("before", old.Holder), zap.Int("workers", len(next.Workers)))
+	fl.opts.Log.Emit(event.CellClaimed, zap.String("cell", name), zap.Int64("epoch", version), zap.String("before", old.Holder))
 	fl.metrics.claims.Inc(1)
 	if name == machinesCell {
 		fl.startMachineController(ctx, next, old)
@@ -256,14 +254,3 @@
 	}
 	return 0
 }
-
-// mergeWorkers returns the workers that earlier owners listed and those that are registered.
-func (fl *Fleet) mergeWorkers(name string, previous []cell.WorkerRef) []cell.WorkerRef {
-	list := slices.Clone(previous)
-	for _, wk := range fl.workerCache.inPool(job.PoolID(name)) {
-		if !slices.ContainsFunc(list, func(rf cell.WorkerRef) bool { return rf.ID == wk.ID }) {
-			list = append(list, cell.WorkerRef{ID: wk.ID, Address: wk.Address, Machine: wk.Machine})
-		}
-	}
-	return list
-}
--- a/fleet/release.go
+++ b/fleet/release.go
@@ -72,7 +72,9 @@
 	}
 	fl.mu.Unlock()
 	ow.stop()
-	row := ow.handoverRow()
+	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	row := ownerRow{Released: ow.commitHandover(callCtx)}
 	// commitRelease logs a failure. The other instances then find that the owner has left or is dead.
 	_ = fl.commitRelease(ctx, ow.name, ow.rowVersion.Load(), row)
 }
--- a/fleet/txkind.go
+++ b/fleet/txkind.go
@@ -36,6 +36,8 @@
 		return txIntake, first.Part
 	case first.Table == tableProgress:
 		return txProgress, first.Part
+	case first.Table == tableUsed:
+		return txCell, first.Part
 	case first.Table == tableAccount:
 		return txAccounts, first.Part
 	case first.Table != tableControl:
--- a/fleet/writes.go
+++ b/fleet/writes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -85,41 +84,54 @@
 	}
 }
 
-// commitBatch writes a batch. It retries until the outcome is known, since the store may still carry out an attempt that it has
-// not answered.
+// commitBatch writes a batch, the progress first, in as many transactions as it needs. It retries until the outcome is known,
+// since the store may still carry out an attempt that it has not answered.
 func (ow *owner) commitBatch(ctx context.Context, wb writeBatch) {
+	var change usedChange
+	if wb.workers != nil {
+		change = ow.used.diff(wb.workers.Workers, wb.workers.UnseenLossEpoch)
+	}
+	for save := wb.save; save != nil || !change.isEmpty(); save = nil {
+		if !ow.commitPart(ctx, save, &change) {
+			ow.post(func(cr *cell.Core, _ time.Time) { cr.RecordWorkersFailed() })
+			return
+		}
+	}
+	if wb.workers != nil {
+		ow.post(func(cr *cell.Core, _ time.Time) {
+			cr.WorkersRecorded(wb.workers.Workers)
+			cr.RecordWorkersFailed()
+		})
+	}
+}
+
+// commitPart writes a save, if there is one, and as much of a change of the workers in use as fits beside it.
+func (ow *owner) commitPart(ctx context.Context, save *cell.Save, change *usedChange) bool {
 	tx := Tx{Expect: []Expect{{ow.rowPlace(), ow.rowVersion.Load()}}}
-	if err := ow.addProgress(&tx, wb.save); err != nil {
-		ow.fl.opts.Log.Emit(event.SaveFailed, zap.String("cell", ow.name), zap.Error(err))
-		return
+	err := ow.addProgress(&tx, save)
+	var part usedChange
+	var head usedHead
+	if err == nil && !change.isEmpty() {
+		part = change.take(maxTxEntries - usedHeadEntries - tx.entryCount())
+		head, err = ow.used.addTo(&tx, ow.epoch, part)
 	}
-	if err := ow.addWorkers(&tx, wb.workers); err != nil {
+	if err != nil {
 		ow.fl.opts.Log.Emit(event.SaveFailed, zap.String("cell", ow.name), zap.Error(err))
-		return
+		return false
 	}
 	version, ok := ow.commit(ctx, tx)
 	if !ok {
-		ow.post(func(cr *cell.Core, _ time.Time) { cr.RecordWorkersFailed() })
-		return
+		return false
 	}
-	if wb.workers != nil {
-		ow.rowVersion.Store(version)
+	if head != (usedHead{}) {
+		ow.used.apply(part, head, version)
+		ow.post(func(cr *cell.Core, _ time.Time) { cr.WorkersRecorded(part.put) })
 	}
-	if wb.save != nil {
+	if save != nil {
 		ow.fl.metrics.saves.Inc(1)
+		ow.post(func(cr *cell.Core, now time.Time) { cr.Saved(now, version) })
 	}
-	ow.post(func(cr *cell.Core, now time.Time) { wb.notifyCore(cr, now, version) })
-}
-
-// notifyCore reports a committed batch to the core.
-func (wb writeBatch) notifyCore(cr *cell.Core, now time.Time, version int64) {
-	if wb.workers != nil {
-		cr.WorkersRecorded(wb.workers.Workers)
-		cr.RecordWorkersFailed()
-	}
-	if wb.save != nil {
-		cr.Saved(now, version)
-	}
+	return true
 }
 
 // addProgress adds the rows of a save to a transaction.
@@ -139,18 +151,4 @@
 	return nil
 }
 
-// addWorkers adds the cell's row with the list of workers in use to a transaction.
-func (ow *owner) addWorkers(tx *Tx, list *cell.RecordWorkers) error {
-	if list == nil {
-		return nil
-	}
-	raw, err := json.Marshal(ownerRow{Holder: ow.fl.opts.Name, Incarnation: ow.fl.opts.Incarnation, Epoch: ow.epoch, Workers: list.Workers, UnseenLossEpoch: list.UnseenLossEpoch})
-	if err != nil {
-		return err
-	}
-	place := ow.rowPlace()
-	tx.Write = append(tx.Write, Row{Table: place.Table, Part: place.Part, Key: place.Key, Value: raw})
-	return nil
-}
-
 func (ow *owner) rowPlace() Place { return Place{tableControl, ow.name, ownerKey} }
--- a/fleet/writes_test.go
+++ b/fleet/writes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -51,8 +50,8 @@
 			t.Errorf("the end was saved after %d transactions", transactions)
 		}
 		time.Sleep(time.Minute)
-		if got := len(cellRow(t, store).Workers); got != workerCount {
-			t.Errorf("the cell's row lists %d of %d workers", got, workerCount)
+		if got := len(storedUsed(t, store).stored); got != workerCount {
+			t.Errorf("the store lists %d of %d workers", got, workerCount)
 		}
 		t.Logf("%d transactions, the end saved after %d", store.count(), transactions)
 	})
@@ -111,18 +110,16 @@
 	return ow, store
 }
 
-// cellRow reads the row of the cell from the store.
-func cellRow(t *testing.T, store *serialStore) ownerRow {
+// storedUsed reads the workers in use of the cell from the store.
+func storedUsed(t *testing.T, store *serialStore) *usedWorkers {
 	t.Helper()
-	var or ownerRow
-	rows := store.mm.read(Query{Table: tableControl, Part: "pool"}).Rows
-	if len(rows) != 1 {
-		t.Fatalf("%d rows of the cell", len(rows))
-	}
-	if err := json.Unmarshal(rows[0].Value, &or); err != nil {
-		t.Fatal(err)
+	uw := newUsedWorkers("pool")
+	for _, rw := range store.mm.read(Query{Table: tableUsed, Part: "pool"}).Rows {
+		if err := uw.load(rw); err != nil {
+			t.Fatal(err)
+		}
 	}
-	return or
+	return uw
 }
 
 // TestArchiveKeepsUpWithEndedJobs checks that the next round starts soon if jobs end faster than a round every three seconds
