A refusal that never turns into a yes is told apart from an outage

Cause: every status but 5xx counted as a refusal of the moment, to be tried again and through a peer.

Change: statuses that refuse the content are ErrInvalid. They are not tried again and not sent through peers, and the store counts as reached. An owner that gets one logs the size of the largest row (event 848), keeps what runs, starts nothing more and reports its queues as full, so that callers are refused at once. A job whose rows are not taken is refused alone.

TestOutcomesOfTransactions wanted the former word for status 400; it now wants the new one, which says more.

Measured: TestOwnerThatCannotSaveStartsNothing (one attempt in three minutes), TestInvalidJobIsRefusedAlone.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -78,6 +78,8 @@
 	confirmedAt time.Time
 	// storeBackAt is when the store last became reachable again after an outage.
 	storeBackAt time.Time
+	// startingStopped is set once the owner can't save any more. Nothing more is started then.
+	startingStopped bool
 	// superseded is set once another owner has been seen. No more orders are given then.
 	superseded bool
 	queues     map[job.QueueID]job.Queue
@@ -235,6 +237,9 @@
 // Epoch returns the epoch of this owner.
 func (cr *Core) Epoch() job.Epoch { return cr.epoch }
 
+// StopStarting ends all starts, since the owner can't save any more. Running tasks keep their leases.
+func (cr *Core) StopStarting() { cr.startingStopped = true }
+
 // markSuperseded ends the work of this owner.
 func (cr *Core) markSuperseded(wk WorkerID, why string) {
 	if !cr.superseded {
--- a/cell/machinelimit.go
+++ b/cell/machinelimit.go
@@ -37,6 +37,9 @@
 // takes longer than the time after which a new job expires. Without a limit the pool grows instead. Long-running
 // tasks are never refused: they do not count here.
 func (cr *Core) fullQueues(now time.Time, unit machineSize) map[job.QueueID]time.Duration {
+	if cr.startingStopped {
+		return cr.allQueuesFull()
+	}
 	if !now.Before(cr.machineLimitUntil) || cr.machineLimit == 0 {
 		return nil
 	}
@@ -59,6 +62,20 @@
 	return full
 }
 
+// stoppedRetryAfter is the time after which callers should retry while nothing can be started.
+const stoppedRetryAfter = 10 * time.Second
+
+// allQueuesFull returns all queues of the pool.
+func (cr *Core) allQueuesFull() map[job.QueueID]time.Duration {
+	full := map[job.QueueID]time.Duration{}
+	for id, qu := range cr.queues {
+		if qu.Pool == cr.pool {
+			full[id] = stoppedRetryAfter
+		}
+	}
+	return full
+}
+
 // machineSeconds returns the remaining work of a job in machine-seconds.
 func (cr *Core) machineSeconds(js *jobState, unit machineSize) float64 {
 	mean := cr.runTimes.get(js.spec.Queue).mean.Seconds()
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -31,7 +31,7 @@
 	cr.removeEnded()
 	cr.recordWorkers()
 	cr.planStops(now)
-	if cr.mayRenew(now) && cr.upToDate() {
+	if cr.mayRenew(now) && cr.upToDate() && !cr.startingStopped {
 		cr.placeTasks(now)
 		cr.moveStragglers(now)
 		cr.throttleBestEffort(now)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -90,6 +90,7 @@
 	WorkerReborn         = Kind{845, "worker started again under its name", zapcore.InfoLevel, "Nothing; `worker` and `before` are the new and the previous incarnation. Tasks of the previous one are restarted on other workers."}
 	HallEvacuated        = Kind{846, "data hall evacuated by an operator", zapcore.WarnLevel, "Nothing; no tasks are started there until the hall is restored. Running tasks continue. The field `why` is the reason, empty if the platform's operator gave none."}
 	HallRestored         = Kind{847, "data hall restored", zapcore.InfoLevel, "Nothing; its workers get tasks again, fewer while they are cold."}
+	SaveImpossible       = Kind{848, "store will never take a transaction; nothing more is started", zapcore.ErrorLevel, "The fields `table`, `key` and `bytes` name its largest row. What runs in the cell continues, nothing more is started and new jobs are refused. Report it: no row may grow that far."}
 	JobKnown             = Kind{829, "job was accepted before", zapcore.InfoLevel, "Nothing; the caller's retry refers to the same job."}
 )
 
@@ -106,5 +107,5 @@
 	CellClaimed, CellLoaded, CellLost, CellReleased, ClaimFailed, ReleaseFailed, SaveFailed, CellDecided,
 	JobAccepted, JobRefused, JobCancelled, AdviceFailed, PeerSilent, CarryRejected,
 	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown, RelayLost, HallCutOff, HallReached,
-	StoreSlow, JobUnsure, WriteWaited, BytesMoved, PayloadMissing, WorkerLost, JobGivenUp, QueuePaused, QueueResumed, KeyRejected, KeyShared, AccountRejected, WorkerReborn, HallEvacuated, HallRestored,
+	StoreSlow, JobUnsure, WriteWaited, BytesMoved, PayloadMissing, WorkerLost, JobGivenUp, QueuePaused, QueueResumed, KeyRejected, KeyShared, AccountRejected, WorkerReborn, HallEvacuated, HallRestored, SaveImpossible,
 }
--- a/fleet/archive.go
+++ b/fleet/archive.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/aspenseam/aspenseam/cell"
+	"github.com/aspenseam/aspenseam/event"
 	"github.com/aspenseam/aspenseam/job"
+	"go.uber.org/zap"
 )
 
 // commit retries a transaction until it succeeds, another owner has replaced this one, or the context ends.
@@ -32,6 +34,10 @@
 			ow.loseOwnership("a write conflicted with a newer version in the store")
 			return 0, false
 		}
+		if errors.Is(err, ErrInvalid) {
+			ow.stopSaving(tx, err)
+			return 0, false
+		}
 		if errors.Is(err, ErrNoAnswer) {
 			// The timeout was long enough; the conditions of the next attempt show whether this one was carried out.
 			continue
@@ -41,6 +47,22 @@
 	return 0, false
 }
 
+// stopSaving ends the saves of an owner whose transaction the store will never take. The owner keeps what runs under its leases,
+// starts nothing more and refuses new jobs, since it could not keep their ends.
+func (ow *owner) stopSaving(tx Tx, err error) {
+	if ow.savingStopped.Swap(true) {
+		return
+	}
+	largest := Row{}
+	for _, rw := range tx.Write {
+		if len(rw.Value) > len(largest.Value) {
+			largest = rw
+		}
+	}
+	ow.fl.opts.Log.Emit(event.SaveImpossible, zap.String("cell", ow.name), zap.Int("entries", tx.entryCount()), zap.String("table", largest.Table), zap.String("key", largest.Key), zap.Int("bytes", len(largest.Value)), zap.Error(err))
+	ow.post(func(cr *cell.Core, _ time.Time) { cr.StopStarting() })
+}
+
 // earlierCommitVersion returns the version that an earlier attempt of the same transaction wrote, if that attempt is why the
 // conditions do not hold, and 0 otherwise. A conflict shows only the rows with conditions, which were written together with the
 // others.
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -257,6 +257,9 @@
 	case errors.As(err, &cf):
 		group = in.answerKnown(group, cf)
 		endAttempts(group)
+	case errors.Is(err, ErrInvalid):
+		endAttempts(group)
+		group = in.refuseInvalid(ctx, group, err)
 	case errors.Is(err, ErrRefused):
 		endAttempts(group)
 		group = in.refuse(group)
@@ -316,6 +319,29 @@
 	return remaining
 }
 
+// refuseInvalid answers Refused for a job whose rows the store does not take. In a group it tries each job by itself, and returns
+// those that have to be tried again.
+func (in *intake) refuseInvalid(ctx context.Context, group []*submission, err error) []*submission {
+	if len(group) > 1 {
+		var remaining []*submission
+		for _, sb := range group {
+			remaining = append(remaining, in.processBatch(ctx, []*submission{sb})...)
+		}
+		return remaining
+	}
+	for _, sb := range group {
+		if sb.inDoubt {
+			// An earlier attempt of the same rows was not answered; they are not taken, so it stored nothing either.
+			sb.inDoubt = false
+			sb.endAttempt()
+		}
+		in.fl.metrics.refused.Inc(1)
+		in.fl.logJob(event.JobRefused, sb.spec.ID, zap.String("why", "the store does not take its rows"), zap.Int("bytes", len(sb.raw)), zap.Error(err))
+		sb.result <- Refused
+	}
+	return nil
+}
+
 // dedupe removes repeated submissions of a job that is already waiting. Their callers get Unknown and ask again.
 func dedupe(waiting []*submission) []*submission {
 	seen := map[job.ID]bool{}
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -42,8 +42,10 @@
 	name  string
 	epoch job.Epoch
 	// rowVersion is the version of the cell's row. Each write of progress is conditional on it.
-	rowVersion     atomic.Int64
-	lost           atomic.Bool
+	rowVersion atomic.Int64
+	lost       atomic.Bool
+	// savingStopped is set once the store has refused a transaction that it will never take.
+	savingStopped  atomic.Bool
 	cancel         context.CancelFunc
 	done           chan struct{}
 	wakeup         chan struct{}
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -62,6 +62,8 @@
 var (
 	// ErrRefused means that the call had no effect.
 	ErrRefused = errors.New("the store refused the call")
+	// ErrInvalid means that the call had no effect and never will: the store does not take its content, whoever sends it.
+	ErrInvalid = errors.New("the store does not take the call")
 	// ErrNoAnswer means that the outcome is not known: the call may have been carried out or may still be.
 	ErrNoAnswer = errors.New("the store did not answer")
 	// ErrHistoryTruncated means that the feed cannot continue from the given version.
@@ -79,7 +81,7 @@
 
 // Store is the platform's transactional store. It holds all state that must survive a restart or be agreed between instances.
 type Store interface {
-	// Commit carries out a transaction and returns its version. Its errors are *Conflict, ErrRefused and ErrNoAnswer.
+	// Commit carries out a transaction and returns its version. Its errors are *Conflict, ErrRefused, ErrInvalid and ErrNoAnswer.
 	Commit(ctx context.Context, tx Tx) (int64, error)
 	// Read returns a consistent snapshot of rows.
 	Read(ctx context.Context, qu Query) (Page, error)
--- a/fleet/storeclient.go
+++ b/fleet/storeclient.go
@@ -181,6 +181,11 @@
 		}
 	}
 	sr, err := perform(ctx, sc.store, request)
+	if errors.Is(err, ErrInvalid) {
+		// The store answers, and a peer would get the same answer.
+		sc.recordResult(nil)
+		return sr, err
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		// The caller cancelled the call, which says nothing about the store.
 		return sr, err
@@ -285,6 +290,7 @@
 	carryDone             = "done"
 	carryConflict         = "conflict"
 	carryRefused          = "refused"
+	carryInvalid          = "invalid"
 	carryNoAnswer         = "silent"
 	carryHistoryTruncated = "history"
 )
@@ -299,6 +305,8 @@
 		return carryConflict
 	case errors.Is(err, ErrHistoryTruncated):
 		return carryHistoryTruncated
+	case errors.Is(err, ErrInvalid):
+		return carryInvalid
 	case errors.Is(err, ErrRefused):
 		return carryRefused
 	}
@@ -317,6 +325,8 @@
 		return &Conflict{}
 	case carryHistoryTruncated:
 		return ErrHistoryTruncated
+	case carryInvalid:
+		return ErrInvalid
 	case carryRefused:
 		return ErrRefused
 	}
--- a/fleet/writes.go
+++ b/fleet/writes.go
@@ -67,7 +67,7 @@
 		case <-ctx.Done():
 			return
 		case <-ow.writeQueue.ready:
-			if wb := ow.writeQueue.takeBatch(); !wb.queuedAt.IsZero() {
+			if wb := ow.writeQueue.takeBatch(); !wb.queuedAt.IsZero() && !ow.savingStopped.Load() {
 				ow.recordWriteWait(wb)
 				ow.commitBatch(ctx, wb)
 			}
