Cooldowns of machines leave the lease row, which all instances follow

Cause: the leader of the machine controller listed each machine with a recent or planned order in the lease row, which it renews three times a second and at each round of moves. All instances follow that row: in steady state each of 585 read some 115 KB a second of the control table, of which the heartbeats (50 rows of 360 bytes) are 18 KB; the leader wrote 70 KB a second.

Change: 32 rows by a hash of the machine, in a table that only an instance that becomes the leader reads. A renewal writes the rows of the machines that it announces, and removes those whose machines have all cooled down. Renewals are numbered, so that the leader recognizes which of its unanswered ones the store carried out.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,6 +38,8 @@
 	tableAccount = "account"
 	// tableUsed holds the workers on which the owners of each cell may have started tasks, in one part for each cell.
 	tableUsed = "used"
+	// tableCooldown holds the machines that the next leader of the machine controller must not send orders for yet.
+	tableCooldown = "cooldown"
 	// tableJob is the prefix of the tables of open jobs. Each cell uses one table, and several cells may share it.
 	tableJob = "job"
 )
--- a/fleet/machinecontroller.go
+++ b/fleet/machinecontroller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"strconv"
 	"strings"
@@ -54,9 +55,10 @@
 	records    map[int]waveRecord
 	waveRunner *machine.WaveRunner
 	sizer      *machine.Sizer
-	// previous is the lease row of the previous leader.
-	previous ownerRow
-	cancel   context.CancelFunc
+	// inherited holds the cooldowns that the previous leader left, as read at inheritedAt.
+	inherited   cooldownChange
+	inheritedAt time.Time
+	cancel      context.CancelFunc
 	// renewing serializes renewals of the lease.
 	renewing sync.Mutex
 	// tasks tracks the goroutines of the current term of leadership.
@@ -99,9 +101,10 @@
 	ct.records[number] = rc
 }
 
-// startMachineController starts the controller after this instance has claimed the machine lease. previous is the row that the
-// claim replaced.
-func (fl *Fleet) startMachineController(ctx context.Context, row, previous ownerRow) {
+// startMachineController starts the controller after this instance has claimed the machine lease.
+func (fl *Fleet) startMachineController(ctx context.Context, row ownerRow) {
+	// The previous leader writes no more cooldowns, since its lease is over.
+	inherited := fl.readCooldowns(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	ct := fl.controller
 	ct.mu.Lock()
@@ -109,14 +112,16 @@
 		ct.cancel()
 	}
 	ct.waveRunner, ct.cancel, ct.row = machine.NewWaveRunner(fl.opts.Now(), machineCooldown), cancel, row
-	ct.sizer, ct.previous = machine.NewSizer(fl.opts.Sizes), previous
+	ct.sizer, ct.inherited, ct.inheritedAt = machine.NewSizer(fl.opts.Sizes), inherited, fl.opts.Now()
 	ct.token = cell.Token(row.epoch()) << tokenShift
 	// Rows that an earlier term of leadership did not write are decided again.
 	ct.pendingRows, ct.drained = nil, nil
 	// Cooldowns inherited from the previous leader also apply to the next one.
-	ct.lease = machineLease{version: row.version, ordered: map[cell.MachineID]*machineOrders{}}
-	for id, remaining := range previous.Ordered {
-		ct.lease.ordersFor(id).lastDone = previous.seenAt.Add(remaining - machineCooldown)
+	ct.lease = machineLease{version: row.version, ordered: map[cell.MachineID]*machineOrders{}, published: inherited}
+	for _, cooldowns := range inherited {
+		for id, remaining := range cooldowns {
+			ct.lease.ordersFor(id).lastDone = ct.inheritedAt.Add(remaining - machineCooldown)
+		}
 	}
 	tasks := &sync.WaitGroup{}
 	ct.tasks = tasks
@@ -253,6 +258,10 @@
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 		_, err := ct.fl.store.Commit(callCtx, tx)
 		cancel()
+		if errors.Is(err, ErrInvalid) {
+			ct.fl.opts.Log.Emit(event.SaveImpossible, zap.String("cell", machinesCell), zap.Int("entries", tx.entryCount()), zap.Error(err))
+			return
+		}
 		if err == nil || asConflict(err) != nil {
 			return
 		}
@@ -300,9 +309,9 @@
 	tasks.Wait()
 	for ctx.Err() == nil {
 		ct.mu.Lock()
-		row := ownerRow{Released: true, Ordered: ct.lease.cooldowns(ct.fl.opts.Now(), 0)}
+		changed := ct.lease.all(ct.fl.opts.Now())
 		ct.mu.Unlock()
-		cf := asConflict(ct.fl.commitRelease(ctx, machinesCell, ct.leaseVersion(), row))
+		cf := asConflict(ct.fl.commitRelease(ctx, machinesCell, ct.leaseVersion(), ownerRow{Released: true}, changed))
 		if cf == nil || !ct.recoverRenewal(cf) {
 			return
 		}
--- a/fleet/machinelease.go
+++ b/fleet/machinelease.go
@@ -27,7 +27,7 @@
 	machineLeaseTermMin       = 1100 * time.Millisecond
 	machineLeaseTermMax       = 3 * time.Second
 	machineLeaseLatencyFactor = 4
-	// announceAttempts is how often the controller tries to publish machines in the lease row before it drops the orders for
+	// announceAttempts is how often the controller tries to publish machines with the lease row before it drops the orders for
 	// them. After a lost answer, the next attempt finds that the row was written, possibly by an earlier renewal that does not
 	// list the machines yet.
 	announceAttempts = 3
@@ -47,9 +47,12 @@
 	expires time.Time
 	// firstAttempt is when the first attempt of the current renewal was sent; zero if no renewal is in progress.
 	firstAttempt time.Time
-	// ordered holds the machines with recent or planned orders; published is what the lease row states about them.
+	// ordered holds the machines with recent or planned orders; published is what the store's rows state about them.
 	ordered   map[cell.MachineID]*machineOrders
-	published map[cell.MachineID]time.Duration
+	published cooldownChange
+	// renewals is the number of the newest renewal; unanswered holds the rows of the renewals that may have been carried out.
+	renewals   int64
+	unanswered map[int64]cooldownChange
 }
 
 // machineOrders is the state of the orders for one machine.
@@ -102,8 +105,8 @@
 	}
 }
 
-// renewOnce makes one attempt and reports whether the lease was renewed. The row lists the machines with recent orders and the
-// machines in next, for which orders are planned.
+// renewOnce makes one attempt and reports whether the lease was renewed. With the lease it writes the cooldowns of the machines in
+// next, for which orders are planned.
 func (ct *machineController) renewOnce(ctx context.Context, next []cell.MachineID) bool {
 	ct.renewing.Lock()
 	defer ct.renewing.Unlock()
@@ -121,10 +124,14 @@
 	if end := now.Add(term); end.Before(ct.lease.expires) {
 		ct.lease.expires = end
 	}
-	or := ownerRow{Holder: ct.fl.opts.Name, Incarnation: ct.fl.opts.Incarnation, Epoch: ct.row.epoch(), Ordered: ct.lease.cooldowns(now, term), Term: term}
+	changed := ct.lease.beginRenewal(now, term, next)
+	or := ownerRow{Holder: ct.fl.opts.Name, Incarnation: ct.fl.opts.Incarnation, Epoch: ct.row.epoch(), Renewal: ct.lease.renewals, Term: term}
 	raw, err := json.Marshal(or)
 	tx := Tx{Expect: []Expect{{machineLeasePlace, version}}, Write: []Row{{Table: machineLeasePlace.Table, Part: machineLeasePlace.Part, Key: machineLeasePlace.Key, Value: raw}}}
 	rows := ct.addPendingRows(&tx)
+	if err == nil {
+		err = changed.addTo(&tx)
+	}
 	ct.mu.Unlock()
 	if err != nil {
 		ct.fl.opts.Log.Emit(event.ClaimFailed, zap.String("cell", machinesCell), zap.Error(err))
@@ -150,6 +157,23 @@
 	return false
 }
 
+// beginRenewal numbers a renewal and returns the cooldown rows that it writes.
+func (ml *machineLease) beginRenewal(now time.Time, term time.Duration, next []cell.MachineID) cooldownChange {
+	if ml.unanswered == nil {
+		ml.unanswered = map[int64]cooldownChange{}
+	}
+	ml.renewals++
+	changed := ml.change(now, term, next)
+	ml.unanswered[ml.renewals] = changed
+	return changed
+}
+
+// endRenewal records that a renewal was carried out. No other unanswered one can be any more, since the row has changed.
+func (ml *machineLease) endRenewal(number int64) {
+	ml.apply(ml.unanswered[number])
+	clear(ml.unanswered)
+}
+
 // machineLeaseTerm returns the term to request, which depends on the current commit latency.
 func (fl *Fleet) machineLeaseTerm() time.Duration {
 	return min(machineLeaseTermMax, max(machineLeaseTermMin, machineLeaseRenewInterval+machineLeaseLatencyFactor*fl.store.commitLatency()))
@@ -162,7 +186,7 @@
 	defer ct.mu.Unlock()
 	ct.removeWritten(rows)
 	ct.lease.version, ct.lease.expires, ct.lease.firstAttempt = version, ct.lease.firstAttempt.Add(or.Term), time.Time{}
-	ct.lease.published = or.Ordered
+	ct.lease.endRenewal(or.Renewal)
 }
 
 // recoverRenewal reports whether a conflict was caused by this instance's own write whose answer was lost. In that case the write
@@ -182,7 +206,8 @@
 			return false
 		}
 		if rw.Version > ct.lease.version {
-			ct.lease.version, ct.lease.published = rw.Version, or.Ordered
+			ct.lease.version = rw.Version
+			ct.lease.endRenewal(or.Renewal)
 			ct.lease.expires = maxTime(ct.lease.expires, ct.lease.firstAttempt.Add(or.Term))
 			ct.lease.firstAttempt = time.Time{}
 		}
@@ -223,7 +248,7 @@
 	}
 	expires, tasks, mo := ct.lease.expires, ct.tasks, ct.lease.ordersFor(id)
 	mo.announced = false
-	if _, published := ct.lease.published[id]; !published || !now.Before(expires) {
+	if !ct.lease.lists(id) || !now.Before(expires) {
 		ct.mu.Unlock()
 		return machine.Refused
 	}
@@ -243,7 +268,7 @@
 	return send(ctx)
 }
 
-// announce publishes machines in the lease row before orders for them are sent, so that the next leader knows which machines to
+// announce publishes machines in the cooldown rows before orders for them are sent, so that the next leader knows which machines to
 // leave alone for a while. Orders for machines that could not be published are refused.
 func (ct *machineController) announce(ctx context.Context, ids []cell.MachineID) {
 	if len(ids) == 0 {
@@ -256,19 +281,16 @@
 	}
 }
 
-// isPublished reports whether the newest known lease row lists all the given machines.
+// isPublished reports whether the cooldown rows list all the given machines.
 func (ct *machineController) isPublished(ids []cell.MachineID) bool {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
-	return !slices.ContainsFunc(ids, func(id cell.MachineID) bool {
-		_, published := ct.lease.published[id]
-		return !published
-	})
+	return !slices.ContainsFunc(ids, func(id cell.MachineID) bool { return !ct.lease.lists(id) })
 }
 
 // coolingDown reports whether the previous leader may have sent an order for a machine so recently that the machine must wait.
 // The caller holds the lock.
 func (ct *machineController) coolingDown(now time.Time, id cell.MachineID) bool {
-	remaining, listed := ct.previous.Ordered[id]
-	return listed && now.Before(ct.previous.seenAt.Add(remaining))
+	remaining, listed := ct.inherited[cooldownKey(id)][id]
+	return listed && now.Before(ct.inheritedAt.Add(remaining))
 }
--- a/fleet/machinelease_test.go
+++ b/fleet/machinelease_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -224,9 +226,8 @@
 		one.controller.announce(context.Background(), []cell.MachineID{"m1"})
 		return sendOrder("m1")
 	})
-	row := cl.leaseRow()
-	if _, listed := row.Ordered["m1"]; !listed {
-		t.Fatalf("the row lists %v", row.Ordered)
+	if listed := cl.cooldowns(); listed["m1"] == 0 {
+		t.Fatalf("the rows list %v", listed)
 	}
 }
 
@@ -250,13 +251,13 @@
 	one.HandOver(context.Background())
 	cl.leader(two)
 	two.controller.mu.Lock()
-	previous := two.controller.previous
+	inherited, inheritedAt := two.controller.inherited, two.controller.inheritedAt
 	two.controller.mu.Unlock()
-	if remaining := previous.Ordered["m1"]; remaining <= 0 || remaining > machineCooldown || len(previous.Ordered) != 1 {
-		t.Fatalf("the row lists %v", previous.Ordered)
+	if remaining := inherited[cooldownKey("m1")]["m1"]; remaining <= 0 || remaining > machineCooldown || len(inherited) != 1 {
+		t.Fatalf("the next leader inherits %v", inherited)
 	}
-	if _, listed := cl.leaseRow().Ordered["m1"]; !listed && time.Since(previous.seenAt) < machineCooldown/2 {
-		t.Fatal("the next leader's row does not list the machine")
+	if listed := cl.cooldowns(); listed["m1"] == 0 && time.Since(inheritedAt) < machineCooldown/2 {
+		t.Fatal("the next leader's rows do not list the machine")
 	}
 	for _, tc := range []struct {
 		id    cell.MachineID
@@ -264,7 +265,7 @@
 		want  bool
 	}{{"m1", 0, true}, {"m1", machineCooldown, false}, {"m2", 0, false}} {
 		two.controller.mu.Lock()
-		got := two.controller.coolingDown(previous.seenAt.Add(tc.after), tc.id)
+		got := two.controller.coolingDown(inheritedAt.Add(tc.after), tc.id)
 		two.controller.mu.Unlock()
 		if got != tc.want {
 			t.Errorf("%s is cooling down after %v: %t", tc.id, tc.after, got)
@@ -304,6 +305,58 @@
 	return or
 }
 
+// cooldowns returns the machines that the next leader must leave alone, as the store has them.
+func (cl *cluster) cooldowns() cooldownRow {
+	cl.t.Helper()
+	all := cooldownRow{}
+	for _, rw := range cl.mem.read(Query{Table: tableCooldown, Part: machinesCell}).Rows {
+		if err := json.Unmarshal(rw.Value, &all); err != nil {
+			cl.t.Fatal(err)
+		}
+	}
+	return all
+}
+
+// TestLeaseRowDoesNotGrowWithOrders announces thousands of machines. The lease row, which all instances follow, must stay as it is,
+// every row must fit the store, and the rows must go once the machines have cooled down.
+func TestLeaseRowDoesNotGrowWithOrders(t *testing.T) {
+	withFakeClock(t, func(ctx context.Context, t *testing.T) {
+		store := newSerialStore(1)
+		ct := startLeaseHolder(ctx, t, store)
+		time.Sleep(time.Second)
+		const batch = 700
+		for round := range 16 {
+			var ids []cell.MachineID
+			for i := range batch {
+				ids = append(ids, cell.MachineID(fmt.Sprintf("m-%010x", batch*round+i)))
+			}
+			ct.announce(ctx, ids)
+			if !ct.isPublished(ids) {
+				t.Fatalf("round %d: the machines are not published", round)
+			}
+		}
+		lease, largest := 0, 0
+		for _, rw := range store.mm.history {
+			if rw.Table == tableControl {
+				lease = max(lease, len(rw.Value))
+			}
+			largest = max(largest, len(rw.Value))
+		}
+		if lease > 300 || largest > maxRowBytes/2 {
+			t.Errorf("the lease row has up to %d bytes, the largest row %d", lease, largest)
+		}
+		ct.mu.Lock()
+		for _, mo := range ct.lease.ordered {
+			mo.announced, mo.lastDone = false, time.Now()
+		}
+		ct.mu.Unlock()
+		time.Sleep(machineCooldown + time.Second)
+		if left := len(store.mm.read(Query{Table: tableCooldown, Part: machinesCell}).Rows); left != 0 {
+			t.Errorf("%d rows are left after the machines have cooled down", left)
+		}
+	})
+}
+
 // TestLateReportDoesNotUndoCompletion checks that the report of a wave's start does not overwrite the report of its completion
 // when it is written late.
 func TestLateReportDoesNotUndoCompletion(t *testing.T) {
@@ -340,7 +393,7 @@
 	lostAnswers := 0
 	one := cl.start("one", func(fs *faultyStore) {
 		fs.dropAnswer = func(tx Tx) bool {
-			listsMachine := len(tx.Write) > 0 && tx.Write[0].Part == machinesCell && bytes.Contains(tx.Write[0].Value, []byte("m1"))
+			listsMachine := slices.ContainsFunc(tx.Write, func(rw Row) bool { return rw.Part == machinesCell && bytes.Contains(rw.Value, []byte("m1")) })
 			if listsMachine && lostAnswers == 0 {
 				lostAnswers++
 				return true
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -49,9 +49,8 @@
 	Holder      string    `json:"holder,omitempty"`
 	Incarnation string    `json:"incarnation,omitempty"`
 	Epoch       job.Epoch `json:"epoch,omitempty"`
-	// Ordered lists the machines with recent or planned orders of the machine controller, and for how long, from the time the row
-	// was written, the next leader must not send orders for them.
-	Ordered map[cell.MachineID]time.Duration `json:"ordered,omitempty"`
+	// Renewal numbers the renewals of the machine lease by one leader, so that it recognizes which of them the store carried out.
+	Renewal int64 `json:"renewal,omitempty"`
 	// Term is how long after a renewal was sent the controller's leader may have orders in flight.
 	Term time.Duration `json:"term,omitempty"`
 	// Released means that the last owner released the cell and has granted no lease since.
--- a/fleet/ownership.go
+++ b/fleet/ownership.go
@@ -206,7 +206,7 @@
 }
 
 func (fl *Fleet) commitClaim(ctx context.Context, name string, old ownerRow) {
-	next := ownerRow{Holder: fl.opts.Name, Incarnation: fl.opts.Incarnation, Ordered: old.Ordered}
+	next := ownerRow{Holder: fl.opts.Name, Incarnation: fl.opts.Incarnation}
 	raw, err := json.Marshal(next)
 	if err != nil {
 		fl.opts.Log.Emit(event.ClaimFailed, zap.String("cell", name), zap.Error(err))
@@ -237,7 +237,7 @@
 	fl.opts.Log.Emit(event.CellClaimed, zap.String("cell", name), zap.Int64("epoch", version), zap.String("before", old.Holder))
 	fl.metrics.claims.Inc(1)
 	if name == machinesCell {
-		fl.startMachineController(ctx, next, old)
+		fl.startMachineController(ctx, next)
 		return
 	}
 	fl.startOwner(ctx, name, next, old, sentAt)
--- a/fleet/release.go
+++ b/fleet/release.go
@@ -76,11 +76,11 @@
 	defer cancel()
 	row := ownerRow{Released: ow.commitHandover(callCtx)}
 	// commitRelease logs a failure. The other instances then find that the owner has left or is dead.
-	_ = fl.commitRelease(ctx, ow.name, ow.rowVersion.Load(), row)
+	_ = fl.commitRelease(ctx, ow.name, ow.rowVersion.Load(), row, nil)
 }
 
-// commitRelease stores that a cell has no owner, and notifies the peers.
-func (fl *Fleet) commitRelease(ctx context.Context, name string, version int64, row ownerRow) error {
+// commitRelease stores that a cell has no owner, together with the cooldowns of machines, and notifies the peers.
+func (fl *Fleet) commitRelease(ctx context.Context, name string, version int64, row ownerRow, cooldowns cooldownChange) error {
 	raw, err := json.Marshal(row)
 	if err != nil {
 		return err
@@ -88,7 +88,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	place := Place{tableControl, name, ownerKey}
-	newest, err := fl.store.Commit(callCtx, Tx{Expect: []Expect{{place, version}}, Write: []Row{{Table: place.Table, Part: place.Part, Key: place.Key, Value: raw}}})
+	tx := Tx{Expect: []Expect{{place, version}}, Write: []Row{{Table: place.Table, Part: place.Part, Key: place.Key, Value: raw}}}
+	if err := cooldowns.addTo(&tx); err != nil {
+		return err
+	}
+	newest, err := fl.store.Commit(callCtx, tx)
 	if err != nil {
 		// Without this row the other instances only notice later that this instance is leaving or dead.
 		fl.opts.Log.Emit(event.ReleaseFailed, zap.String("cell", name), zap.Error(err))
