Moves of machines follow the platform's rate for orders

What callers saw: machines that a burst of jobs wanted came seconds late.

Cause: a turn of demand plans a thousand moves at once. An unanswered move takes its machine out of both pools for 6 s, and a refused one costs its worker up to 3 s of idling.

Change: the controller plans no more moves a round than the platform takes in 300 ms, by the rate in the settings (no bound where there is none); the others are planned again 250 ms later. Maintenance goes first.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -74,11 +74,13 @@
 	Workers      Workers
 	Adviser      Adviser
 	Machines     Machines
-	Format       Format
-	Cell         cell.Options
-	Sizes        machine.SizeOptions
-	Log          *event.Logger
-	Registry     metrics.Registry
+	// MachineOrderRate is how many orders for machines the platform takes a second from all instances, 0 if it states none.
+	MachineOrderRate float64
+	Format           Format
+	Cell             cell.Options
+	Sizes            machine.SizeOptions
+	Log              *event.Logger
+	Registry         metrics.Registry
 	// Bytes counts the bytes that the instance's connections transfer, nil if they are not counted.
 	Traffic *Traffic
 	Now     func() time.Time
--- a/fleet/machinecontroller.go
+++ b/fleet/machinecontroller.go
@@ -15,6 +15,7 @@
 	"github.com/aspenseam/aspenseam/job"
 	"github.com/aspenseam/aspenseam/machine"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 )
 
 // Intervals and timeouts of the machine controller.
@@ -66,6 +67,8 @@
 	row   ownerRow
 	lease machineLease
 	token cell.Token
+	// orderLimiter keeps orders for machines within the platform's rate.
+	orderLimiter *rate.Limiter
 	// drained holds the cordoned workers that were empty when their cells' owners last reported.
 	drained map[cell.WorkerName]bool
 	// pendingRows are written by the next renewal; rowsPending signals that rows were added.
@@ -74,7 +77,7 @@
 }
 
 func newMachineController(fl *Fleet) *machineController {
-	return &machineController{fl: fl, waves: map[int]machine.Wave{}, records: map[int]waveRecord{}, rowsPending: make(chan struct{}, 1)}
+	return &machineController{fl: fl, waves: map[int]machine.Wave{}, records: map[int]waveRecord{}, rowsPending: make(chan struct{}, 1), orderLimiter: newOrderLimiter(fl.opts.MachineOrderRate)}
 }
 
 // applyWave adds or removes a wave that the operator has requested.
@@ -221,6 +224,8 @@
 }
 
 func (ct *machineController) startMaintenance(ctx context.Context, sm machine.StartMaintenance) {
+	// Maintenance goes before moves, which wait until the rate has recovered.
+	ct.orderLimiter.ReserveN(ct.fl.opts.Now(), 1)
 	oc := ct.sendOrder(ctx, sm.Machine, func(ctx context.Context) machine.Outcome {
 		return ct.fl.opts.Machines.StartMaintenance(ctx, sm.Machine, sm.Wave, ct.fl.opts.Name, ct.token)
 	})
--- a/fleet/poolsizes.go
+++ b/fleet/poolsizes.go
@@ -188,7 +188,7 @@
 		machines := ct.fl.outsideEvacuation(ct.waveRunner.Machines())
 		moves := ct.sizer.Plan(now, cf.Pools, machines, loads, ct.waveRunner.Holds)
 		ct.mu.Unlock()
-		ct.moveMachines(ctx, machines, moves)
+		ct.moveMachines(ctx, machines, ct.takeMoves(now, moves))
 	}
 }
 
