Heartbeats are rows of a few bytes

Cause: each heartbeat carried the instance's whole row (address, hall, incarnation, share of a core; some 360 bytes in a feed) to every instance: 18 KB a second for each of 585.

Change: the row is written when an instance starts and when it leaves; in between it renews a row that holds a number.

--- a/fleet/members.go
+++ b/fleet/members.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -15,13 +16,13 @@
 	"go.uber.org/zap"
 )
 
-// node is the row of an entry instance in the control table.
+// node is the row of an entry instance in the control table. It is written when the instance starts and when it leaves; in between
+// the instance renews its heartbeat row.
 type node struct {
 	Name        string     `json:"name"`
 	Address     string     `json:"address"`
 	Hall        job.HallID `json:"hall"`
 	Incarnation string     `json:"incarnation"`
-	Heartbeats  int64      `json:"beat"`
 	// Power is the instance's share of a core. Cells are distributed in proportion to it.
 	Power   float64 `json:"power,omitempty"`
 	Leaving bool    `json:"leaving,omitempty"`
@@ -99,6 +100,8 @@
 			fl.applyOwner(rw)
 		case strings.HasPrefix(rw.Key, nodePrefix):
 			fl.members.applyNode(rw)
+		case strings.HasPrefix(rw.Key, heartbeatPrefix):
+			fl.members.applyHeartbeat(rw)
 		case strings.HasPrefix(rw.Key, drainPrefix):
 			fl.members.applyDrain(rw)
 			drained = true
@@ -141,6 +144,16 @@
 	mb.nodes[name], mb.nodeSeenAt[name] = nd, mb.now()
 }
 
+// applyHeartbeat applies the heartbeat row of an entry instance. Its content does not matter.
+func (mb *members) applyHeartbeat(rw Row) {
+	if rw.Deleted {
+		return
+	}
+	mb.mu.Lock()
+	defer mb.mu.Unlock()
+	mb.nodeSeenAt[strings.TrimPrefix(rw.Key, heartbeatPrefix)] = mb.now()
+}
+
 // applyOwner applies the row of a cell, and stops an owner that has been replaced.
 func (fl *Fleet) applyOwner(rw Row) {
 	var or ownerRow
@@ -265,28 +278,47 @@
 	return b
 }
 
-// heartbeat renews this instance's row until the context ends.
+// heartbeat writes this instance's row, and renews its heartbeat row until the context ends.
 func (fl *Fleet) heartbeat(ctx context.Context) {
-	at := nodePlace(fl.opts.Name)
-	nd := node{Name: fl.opts.Name, Address: fl.opts.Address, Hall: fl.opts.Hall, Incarnation: fl.opts.Incarnation, Power: fl.opts.Power, Layout: layoutSeparatePayloads}
-	for ctx.Err() == nil {
-		nd.Heartbeats++
-		nd.Leaving = fl.stopping.Load()
-		raw, err := json.Marshal(nd)
+	var written node
+	for count := int64(1); ctx.Err() == nil; count++ {
+		nd := fl.ownNode()
+		rw, err := heartbeatRow(fl.opts.Name, count), error(nil)
+		if nd != written {
+			rw, err = nd.row()
+		}
 		if err == nil {
 			callCtx, cancel := context.WithTimeout(ctx, fl.store.commitTimeout())
-			_, err = fl.store.Commit(callCtx, Tx{Write: []Row{{Table: at.Table, Part: at.Part, Key: at.Key, Value: raw}}})
+			_, err = fl.store.Commit(callCtx, Tx{Write: []Row{rw}})
 			cancel()
 		}
 		// The watch of the control table logs that the store is unreachable.
-		pause := fl.heartbeatDelay()
-		if err != nil {
-			pause = heartbeatRetryDelay
+		pause := heartbeatRetryDelay
+		if err == nil {
+			pause, written = fl.heartbeatDelay(), nd
 		}
 		fl.sleepUntilHeartbeat(ctx, pause)
 	}
 }
 
+// ownNode returns the row of this instance.
+func (fl *Fleet) ownNode() node {
+	return node{Name: fl.opts.Name, Address: fl.opts.Address, Hall: fl.opts.Hall, Incarnation: fl.opts.Incarnation, Power: fl.opts.Power, Layout: layoutSeparatePayloads, Leaving: fl.stopping.Load()}
+}
+
+// row returns the row as it is stored.
+func (nd node) row() (Row, error) {
+	raw, err := json.Marshal(nd)
+	place := nodePlace(nd.Name)
+	return Row{Table: place.Table, Part: place.Part, Key: place.Key, Value: raw}, err
+}
+
+// heartbeatRow returns the row that an instance renews. All instances read all of them, so it holds no more than a number that
+// changes.
+func heartbeatRow(name string, count int64) Row {
+	return Row{Table: tableControl, Part: nodePart(name), Key: heartbeatPrefix + name, Value: strconv.AppendInt(nil, count, 10)}
+}
+
 // heartbeatDelay returns how long this instance's row may stay unchanged.
 func (fl *Fleet) heartbeatDelay() time.Duration {
 	if fl.ownsNoCells() && !fl.controller.isLeader() && !fl.stopping.Load() {
--- a/fleet/ownership.go
+++ b/fleet/ownership.go
@@ -15,11 +15,13 @@
 
 // Keys and parts of the control table.
 const (
-	nodePrefix   = "node/"
-	drainPrefix  = "drain/"
-	wavePrefix   = "wave/"
-	ownerKey     = "owner"
-	machinesCell = "~machines"
+	nodePrefix = "node/"
+	// heartbeatPrefix is short, since every instance reads all heartbeats.
+	heartbeatPrefix = "b/"
+	drainPrefix     = "drain/"
+	wavePrefix      = "wave/"
+	ownerKey        = "owner"
+	machinesCell    = "~machines"
 	// nodePartPrefix is the prefix of the parts that hold the rows of entry instances.
 	nodePartPrefix = "nodes/"
 )
@@ -31,7 +33,12 @@
 
 // nodePlace returns the place of an entry instance's row.
 func nodePlace(name string) Place {
-	return Place{tableControl, nodePartPrefix + strconv.Itoa(int(hash(name)%nodePartCount)), nodePrefix + name}
+	return Place{tableControl, nodePart(name), nodePrefix + name}
+}
+
+// nodePart returns the part of an entry instance's rows.
+func nodePart(name string) string {
+	return nodePartPrefix + strconv.Itoa(int(hash(name)%nodePartCount))
 }
 
 // Intervals and timeouts of membership and ownership.
--- a/fleet/start_test.go
+++ b/fleet/start_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -77,3 +78,41 @@
 		t.Errorf("incarnation %q", nd.Incarnation)
 	}
 }
+
+// TestHeartbeatsAreSmall lets two instances run. After its start an instance writes nothing but small heartbeat rows to the table
+// that all instances follow, it counts as live by them, and it says itself when it leaves.
+func TestHeartbeatsAreSmall(t *testing.T) {
+	cl := newCluster(t, 20*time.Millisecond)
+	one, two := cl.start("one"), cl.start("two")
+	cl.waitOwner(one, two)
+	cl.eventually("both know each other", func() bool { return len(one.liveNodes()) == 2 && len(two.liveNodes()) == 2 })
+	written := func() (nodes, heartbeats, largest int) {
+		cl.mem.mu.Lock()
+		defer cl.mem.mu.Unlock()
+		for _, rw := range cl.mem.history {
+			switch {
+			case strings.HasPrefix(rw.Key, nodePrefix):
+				nodes++
+			case strings.HasPrefix(rw.Key, heartbeatPrefix):
+				heartbeats++
+				largest = max(largest, len(rw.Value))
+			}
+		}
+		return nodes, heartbeats, largest
+	}
+	cl.eventually("heartbeats", func() bool {
+		_, heartbeats, _ := written()
+		return heartbeats >= 10
+	})
+	if nodes, _, largest := written(); nodes != 2 || largest > 10 {
+		t.Errorf("%d rows of instances were written, the largest heartbeat has %d bytes", nodes, largest)
+	}
+	if len(one.liveNodes()) != 2 {
+		t.Error("an instance that sends heartbeats does not count as live")
+	}
+	one.HandOver(t.Context())
+	cl.eventually("the row says that the instance leaves", func() bool {
+		nd, _ := two.members.node("one")
+		return nd.Leaving
+	})
+}
