--- a/cell/model_evacuation_test.go
+++ b/cell/model_evacuation_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -126,3 +127,13 @@
 		md.violatef("owner %d orders the start of %v in %s %v after its evacuation", ow.epoch, order.Task, wk.info.Hall, late)
 	}
 }
+
+// TestModelOfEvacuationsWhatIsLeft replays worlds with evacuations in which a job is given up for losses that were none, or a task that crashes its
+// workers is started once more. No evacuation is violated in them.
+func TestModelOfEvacuationsWhatIsLeft(t *testing.T) {
+	for _, seed := range []int64{
+		90000812, 90004143, 90005311, 91002185, 91002187, 91002299, 91002405, 91002561, 91002633, 91002711, 91003727, 91005811, 91005955, 92000147, 92000253, 92003355,
+	} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playModel(t, seed, newEvacuationModel(seed)) })
+	}
+}
