The progress of a wave is spread over rows

Cause (found by asking which other rows hold a list that grows): the machines that a wave has finished with stood in one row, written with the lease. At some 3,000 machines the store would refuse it, and with it each renewal of the lease that carries it; all instances read it at each change.

Change: 32 rows by a hash of the machine; only those that change are written.

--- a/cell/burst_test.go
+++ b/cell/burst_test.go
@@ -324,3 +324,19 @@
 		}
 	}
 }
+
+// BenchmarkWorkers plays the same load in pools of several sizes, to show what each further worker costs.
+func BenchmarkWorkers(b *testing.B) {
+	for _, workers := range []int{180, 360, 720, 1450} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			for b.Loop() {
+				bt := newBurst(workers, 1)
+				bt.run(time.Second)
+				started := time.Now()
+				bt.arrive(217, 4*time.Second)
+				bt.run(4 * time.Second)
+				b.ReportMetric(float64(time.Since(started).Microseconds())/float64(bt.starts), "us/start")
+			}
+		})
+	}
+}
--- a/fleet/machinecontroller.go
+++ b/fleet/machinecontroller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,7 +42,8 @@
 	Move(ctx context.Context, id cell.MachineID, to job.PoolID, holder string, token cell.Token) machine.Outcome
 }
 
-// waveRecord is the stored progress of a wave.
+// waveRecord is one row of the stored progress of a wave. The machines are spread over waveRowCount rows, so that a wave over a
+// whole fleet fits; the end of the wave has a row of its own.
 type waveRecord struct {
 	Done     []cell.MachineID `json:"done,omitempty"`
 	Finished bool             `json:"finished,omitempty"`
@@ -50,10 +52,12 @@
 // machineController runs maintenance waves and moves machines between pools while this instance holds the machine lease. It keeps
 // track of the waves while it does not, so that it can take over.
 type machineController struct {
-	fl         *Fleet
-	mu         sync.Mutex // guards the fields below
-	waves      map[int]machine.Wave
-	records    map[int]waveRecord
+	fl    *Fleet
+	mu    sync.Mutex // guards the fields below
+	waves map[int]machine.Wave
+	// records holds the stored rows of each wave's progress by key. savedDone is what this leader last wrote to them.
+	records    map[int]map[string]waveRecord
+	savedDone  map[string][]cell.MachineID
 	waveRunner *machine.WaveRunner
 	sizer      *machine.Sizer
 	// inherited holds the cooldowns that the previous leader left, as read at inheritedAt.
@@ -77,7 +81,7 @@
 }
 
 func newMachineController(fl *Fleet) *machineController {
-	return &machineController{fl: fl, waves: map[int]machine.Wave{}, records: map[int]waveRecord{}, rowsPending: make(chan struct{}, 1), orderLimiter: newOrderLimiter(fl.opts.MachineOrderRate)}
+	return &machineController{fl: fl, waves: map[int]machine.Wave{}, records: map[int]map[string]waveRecord{}, rowsPending: make(chan struct{}, 1), orderLimiter: newOrderLimiter(fl.opts.MachineOrderRate)}
 }
 
 // applyWave adds or removes a wave that the operator has requested.
@@ -93,7 +97,8 @@
 
 // applyWaveRecord applies the stored progress of a wave.
 func (ct *machineController) applyWaveRecord(rw Row) {
-	number, err := strconv.Atoi(strings.TrimPrefix(rw.Key, wavePrefix))
+	text, _, _ := strings.Cut(strings.TrimPrefix(rw.Key, wavePrefix), "/")
+	number, err := strconv.Atoi(text)
 	var rc waveRecord
 	if err != nil || rw.Deleted || json.Unmarshal(rw.Value, &rc) != nil {
 		ct.fl.opts.Log.Emit(event.ControlRowRejected, zap.String("key", rw.Key))
@@ -101,7 +106,10 @@
 	}
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
-	ct.records[number] = rc
+	if ct.records[number] == nil {
+		ct.records[number] = map[string]waveRecord{}
+	}
+	ct.records[number][rw.Key] = rc
 }
 
 // startMachineController starts the controller after this instance has claimed the machine lease.
@@ -118,7 +126,7 @@
 	ct.sizer, ct.inherited, ct.inheritedAt = machine.NewSizer(fl.opts.Sizes), inherited, fl.opts.Now()
 	ct.token = cell.Token(row.epoch()) << tokenShift
 	// Rows that an earlier term of leadership did not write are decided again.
-	ct.pendingRows, ct.drained = nil, nil
+	ct.pendingRows, ct.drained, ct.savedDone = nil, nil, map[string][]cell.MachineID{}
 	// Cooldowns inherited from the previous leader also apply to the next one.
 	ct.lease = machineLease{version: row.version, ordered: map[cell.MachineID]*machineOrders{}, published: inherited}
 	for _, cooldowns := range inherited {
@@ -180,7 +188,7 @@
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
 	for number, wv := range ct.waves {
-		rc := ct.records[number]
+		rc := ct.waveProgress(number)
 		ct.waveRunner.Begin(now, wv, rc.Done, rc.Finished)
 	}
 	ct.waveRunner.SetEvacuatedHalls(ct.fl.evacuatedHalls())
@@ -217,7 +225,7 @@
 	case machine.Release:
 		ct.deleteRow(drainPrefix + string(order.Machine))
 	case machine.RecordProgress:
-		ct.saveWaveRecord(order.Wave, waveRecord{Done: order.Done})
+		ct.saveDone(order.Wave, order.Done)
 	case machine.ReportProgress:
 		ct.reportWave(ctx, order)
 	}
@@ -252,7 +260,7 @@
 	ct.spawn(func() {
 		ct.commitUntilDone(ctx, tx)
 		if rp.Completed {
-			ct.saveWaveRecord(rp.Wave, waveRecord{Finished: true})
+			ct.putRow(waveKey(rp.Wave), waveRecord{Finished: true})
 		}
 	})
 }
@@ -274,8 +282,36 @@
 	}
 }
 
-func (ct *machineController) saveWaveRecord(wave int, rc waveRecord) {
-	ct.putRow(wavePrefix+strconv.Itoa(wave), rc)
+// waveRowCount is the number of rows for the machines that a wave has finished with.
+const waveRowCount = 32
+
+func waveKey(wave int) string { return wavePrefix + strconv.Itoa(wave) }
+
+// waveProgress combines the stored rows of a wave. The caller holds the lock.
+func (ct *machineController) waveProgress(wave int) (all waveRecord) {
+	for _, rc := range ct.records[wave] {
+		all.Done = append(all.Done, rc.Done...)
+		all.Finished = all.Finished || rc.Finished
+	}
+	return all
+}
+
+// saveDone stores the machines that a wave has finished with, in the rows that change.
+func (ct *machineController) saveDone(wave int, done []cell.MachineID) {
+	rows := map[string][]cell.MachineID{}
+	for _, id := range done {
+		key := waveKey(wave) + "/" + strconv.Itoa(int(hash(string(id))%waveRowCount))
+		rows[key] = append(rows[key], id)
+	}
+	for _, key := range slices.Sorted(maps.Keys(rows)) {
+		ct.mu.Lock()
+		changed := !slices.Equal(ct.savedDone[key], rows[key])
+		ct.savedDone[key] = rows[key]
+		ct.mu.Unlock()
+		if changed {
+			ct.putRow(key, waveRecord{Done: rows[key]})
+		}
+	}
 }
 
 // stepDownIfReplaced stops the controller if another instance holds the lease.
