--- a/fleet/machinecheck.go
+++ b/fleet/machinecheck.go
@@ -37,9 +37,7 @@
 			continue
 		}
 		last = now
-		callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
-		list, err := ow.fl.opts.Machines.List(callCtx)
-		cancel()
+		list, err := ow.fl.listMachines(ctx)
 		if err != nil {
 			ow.fl.opts.Log.Emit(event.MachinesUnlisted, zap.String("cell", ow.name), zap.Error(err))
 			continue
--- a/fleet/machinecontroller.go
+++ b/fleet/machinecontroller.go
@@ -15,6 +15,7 @@
 	"github.com/aspenseam/aspenseam/event"
 	"github.com/aspenseam/aspenseam/job"
 	"github.com/aspenseam/aspenseam/machine"
+	"github.com/aspenseam/aspenseam/tcp"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 )
@@ -28,7 +29,7 @@
 	// machineCooldown is how long a new leader sends no orders for a machine that the previous leader may just have sent an order
 	// for.
 	machineCooldown = 3200 * time.Millisecond
-	// machineTimeout bounds one call of the machine API.
+	// machineTimeout bounds one call of the machine API, and the wait for each page of a list.
 	machineTimeout = 1500 * time.Millisecond
 	// tokenShift is the number of low bits of a machine fencing token that are left for a counter; the bits above hold the lease
 	// epoch.
@@ -197,10 +198,16 @@
 	}
 }
 
-func (ct *machineController) listMachines(ctx context.Context, sentAt time.Time) {
-	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
+// listMachines reads the list of machines. It may take as long as the machine service sends pages: a list of thousands of machines
+// from a slow service does not fit into the time of one call.
+func (fl *Fleet) listMachines(ctx context.Context) ([]machine.Machine, error) {
+	ctx, cancel := tcp.WithIdleTimeout(ctx, machineTimeout)
 	defer cancel()
-	list, err := ct.fl.opts.Machines.List(callCtx)
+	return fl.opts.Machines.List(ctx)
+}
+
+func (ct *machineController) listMachines(ctx context.Context, sentAt time.Time) {
+	list, err := ct.fl.listMachines(ctx)
 	if err != nil {
 		ct.fl.opts.Log.Emit(event.MachinesUnlisted, zap.Error(err))
 		return
