A data hall's loss does not delay claims by the instances lost with it

Cause: the claim order among equals was by FNV-1a of the cell and the name, which hardly mixes the last letters, so that the eight equal instances of the lost hall stood one after the other at its head; idle, they count as live for 36 s, and each costs 300 ms.

Change: a hash that mixes, and instances in the former holder's hall come last among equals.

--- a/fleet/ownership.go
+++ b/fleet/ownership.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/aspenseam/aspenseam/event"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 )
 
@@ -133,7 +134,7 @@
 		fl.members.vacantSince[name], since = now, now
 	}
 	fl.members.mu.Unlock()
-	rank := fl.claimRank(name, live)
+	rank := fl.claimRank(name, or.Holder, live)
 	if rank < 0 || now.Sub(since) < time.Duration(rank)*claimRankDelay {
 		return
 	}
@@ -171,23 +172,31 @@
 	return fl.ownerOf(name) != nil
 }
 
-// claimRank returns this instance's position in the claim order for a cell: by load, then by a hash of the cell and the
-// instance. It returns -1 if this instance is not live.
-func (fl *Fleet) claimRank(name string, live map[string]node) int {
+// claimRank returns this instance's position in the claim order for a cell: by load, then instances in other data halls than the
+// former holder, which may have been lost with its hall, then by a hash of the cell and the instance. It returns -1 if this
+// instance is not live.
+func (fl *Fleet) claimRank(name, holder string, live map[string]node) int {
 	type candidate struct {
 		name string
 		load float64
-		hash uint32
+		// holderHall is 1 in the data hall of the former holder, 0 elsewhere.
+		holderHall int
+		hash       uint64
 	}
 	counts := fl.members.cellCounts()
+	former, known := fl.members.node(holder)
 	var list []candidate
 	for _, nd := range live {
 		if !nd.Leaving {
-			list = append(list, candidate{nd.Name, nd.load(counts[nd.Name] + 1), hash(name + "/" + nd.Name)})
+			cd := candidate{name: nd.Name, load: nd.load(counts[nd.Name] + 1), hash: xxhash.Sum64String(name + "/" + nd.Name)}
+			if known && nd.Hall == former.Hall {
+				cd.holderHall = 1
+			}
+			list = append(list, cd)
 		}
 	}
 	slices.SortFunc(list, func(one, other candidate) int {
-		return cmp.Or(cmp.Compare(one.load, other.load), cmp.Compare(one.hash, other.hash), cmp.Compare(one.name, other.name))
+		return cmp.Or(cmp.Compare(one.load, other.load), cmp.Compare(one.holderHall, other.holderHall), cmp.Compare(one.hash, other.hash), cmp.Compare(one.name, other.name))
 	})
 	return slices.IndexFunc(list, func(cd candidate) bool { return cd.name == fl.opts.Name })
 }
