Instances that the store turns away spread over carriers, which refuse at once if they are turned away too

Cause: each instance sent its calls through the first other one by name, so 205 of them shared one carrier (14.8 MB in 9 s, the next four in the alphabet 9 to 4 MB, some of them with a link of 20 Mbit/s); and a carrier that was turned away itself tried the store until the caller's time was over. In a small fleet an instance soon knows which ones do not serve.

Change: each instance begins at another carrier; one whose probe of the store has failed refuses at once, and up to four are asked.

--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -12,6 +12,7 @@
 	"github.com/aspenseam/aspenseam/job"
 	"github.com/aspenseam/aspenseam/peer"
 	"github.com/aspenseam/aspenseam/tcp"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 )
 
@@ -26,7 +27,7 @@
 	// maxPeerRequestBytes bounds the size of a request from a peer.
 	maxPeerRequestBytes = 4 << 20
 	// carryAttempts is the number of peers that are asked to carry out a store call.
-	carryAttempts = 2
+	carryAttempts = 4
 	// carryBackoff is how long a peer that could not carry out a store call is not used.
 	carryBackoff = time.Second
 )
@@ -142,7 +143,8 @@
 	}
 }
 
-// carrierAddresses returns the addresses of the peers to try, starting with a different one each time.
+// carrierAddresses returns the addresses of the peers to try. Each instance begins with another one, so that those that the store
+// turns away together do not share one carrier, and goes on to the next after a failure.
 func (pr *peers) carrierAddresses() []string {
 	var addresses []string
 	for _, nd := range pr.fl.members.others(pr.fl.opts.Name) {
@@ -159,8 +161,9 @@
 	defer pr.mu.Unlock()
 	now := pr.fl.opts.Now()
 	var list []string
+	first := int(xxhash.Sum64String(pr.fl.opts.Name) % uint64(max(1, len(addresses))))
 	for i := range addresses {
-		address := addresses[(i+pr.rotation)%len(addresses)]
+		address := addresses[(i+first+pr.rotation)%len(addresses)]
 		if now.After(pr.backoffUntil[address]) && len(list) < carryAttempts {
 			list = append(list, address)
 		}
@@ -273,6 +276,10 @@
 		sv.fl.opts.Log.Emit(event.CarryRejected, zap.Error(err))
 		return &peer.CarryResponse{Outcome: carryRefused}, nil
 	}
+	if sv.fl.store.turnedAway() {
+		// The caller asks another peer sooner than this instance would know that the store does not answer it.
+		return &peer.CarryResponse{Outcome: carryRefused}, nil
+	}
 	sr, err := perform(ctx, sv.fl.opts.Store, call)
 	outcome := carryOutcome(err)
 	if outcome == carryConflict {
--- a/fleet/storeclient.go
+++ b/fleet/storeclient.go
@@ -61,7 +61,9 @@
 	mu      sync.Mutex // guards the fields below
 	// viaPeers is set while calls are first tried through a peer.
 	viaPeers bool
-	failures int
+	// probeFailed is set while viaPeers is set and a probe of the direct path has failed since.
+	probeFailed bool
+	failures    int
 	// lastAnswerAt is when the store last answered, directly or through a peer.
 	lastAnswerAt time.Time
 	// latency is the smoothed duration of answered transactions; timeouts counts the consecutive transactions without an answer.
@@ -211,6 +213,13 @@
 	return sc.viaPeers
 }
 
+// turnedAway reports whether the store has not answered this instance for longer than a single lost answer explains.
+func (sc *storeClient) turnedAway() bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.probeFailed
+}
+
 func (sc *storeClient) startProxying(err error) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
@@ -229,10 +238,11 @@
 		callCtx, cancel := context.WithTimeout(ctx, directProbeTimeout)
 		_, err := sc.store.Read(callCtx, Query{Table: tableControl, Part: machinesCell, Limit: 1})
 		cancel()
+		sc.mu.Lock()
+		sc.probeFailed = unavailable(err)
+		sc.viaPeers = sc.probeFailed
+		sc.mu.Unlock()
 		if !unavailable(err) {
-			sc.mu.Lock()
-			sc.viaPeers = false
-			sc.mu.Unlock()
 			return
 		}
 	}
