--- a/cell/cell.go
+++ b/cell/cell.go
@@ -116,9 +116,9 @@
 	// renewalsVisible means that the platform reports the renewal of a registration even if its content is unchanged.
 	renewalsVisible bool
 	link            linkMonitor
-	// rowOutdated means that the cell's row names workers that are gone. prunedAt is when such workers were last removed from it.
-	rowOutdated bool
-	prunedAt    time.Time
+	// listOutdated means that the stored list of workers in use names workers that are gone. prunedAt is when such workers were last removed from it.
+	listOutdated bool
+	prunedAt     time.Time
 	// lateStarts are unanswered starts that the next incarnations of their workers may carry out.
 	lateStarts []*lateStart
 	// departed are unresolved workers whose incarnation has ended. Their next incarnation may still carry out orders sent to them.
@@ -334,7 +334,7 @@
 // TakeoverComplete reports whether no task of an earlier owner can run unseen any more.
 func (cr *Core) TakeoverComplete() bool { return len(cr.unresolved) == 0 }
 
-// WorkersRecorded records that the cell's row names these workers, so that the next owner will poll them.
+// WorkersRecorded records that the stored list names these workers, so that the next owner will poll them.
 func (cr *Core) WorkersRecorded(refs []WorkerRef) {
 	for _, rf := range refs {
 		if wk, ok := cr.workers[rf.ID]; ok {
--- a/cell/evacuation.go
+++ b/cell/evacuation.go
@@ -12,7 +12,7 @@
 // them would interrupt callers whom the hall still serves. The caller must not modify the map afterwards.
 func (cr *Core) SetEvacuatedHalls(halls map[job.HallID]bool) { cr.evacuatedHalls = halls }
 
-// evacuated reports whether a worker is in an evacuated data hall. The hall of a worker that only the cell's row names is not known, so such a
+// evacuated reports whether a worker is in an evacuated data hall. The hall of a worker that only the stored list names is not known, so such a
 // worker counts as evacuated while any hall is.
 func (cr *Core) evacuated(wk *worker) bool {
 	return len(cr.evacuatedHalls) > 0 && (wk.info.Hall == "" || cr.evacuatedHalls[wk.info.Hall])
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -131,7 +131,7 @@
 			return false
 		}
 		ls.task.lateStart, ls.job.fullyPlaced = nil, false
-		cr.rowOutdated = true
+		cr.listOutdated = true
 		return true
 	})
 }
@@ -161,7 +161,7 @@
 		if ls.task.lateStart == ls {
 			ls.task.lateStart, ls.job.fullyPlaced = nil, false
 		}
-		cr.rowOutdated = true
+		cr.listOutdated = true
 		return true
 	})
 }
--- a/cell/order.go
+++ b/cell/order.go
@@ -64,7 +64,7 @@
 		Version  int64
 		Progress *job.Progress
 	}
-	// RecordWorkers writes the workers in use and the result of UnseenLossEpoch to the cell's row.
+	// RecordWorkers stores the list of workers in use and the result of UnseenLossEpoch.
 	RecordWorkers struct {
 		Workers         []WorkerRef
 		UnseenLossEpoch job.Epoch
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -71,7 +71,7 @@
 	return false
 }
 
-// recordWorkers records new workers in the cell's row before any task starts on them.
+// recordWorkers adds new workers to the stored list before any task starts on them.
 func (cr *Core) recordWorkers() {
 	missing := false
 	for _, wk := range cr.sortedWorkers {
@@ -88,23 +88,23 @@
 	for _, wk := range cr.sortedWorkers {
 		wk.recording = true
 	}
-	cr.rowOutdated = false
+	cr.listOutdated = false
 	cr.order(RecordWorkers{Workers: cr.UsedWorkers(), UnseenLossEpoch: cr.UnseenLossEpoch()})
 }
 
-// minPruneInterval is the minimum interval between writes that only remove workers from the cell's row.
+// minPruneInterval is the minimum interval between writes that only remove workers from the stored list.
 const minPruneInterval = time.Second
 
-// pruneRecordedWorkers removes ended workers from the cell's row along with a save. The next owner would otherwise assume that tasks were lost
+// pruneRecordedWorkers removes ended workers from the stored list along with a save. The next owner would otherwise assume that tasks were lost
 // with them.
 func (cr *Core) pruneRecordedWorkers(now time.Time) {
-	if cr.rowOutdated && now.Sub(cr.prunedAt) >= minPruneInterval {
+	if cr.listOutdated && now.Sub(cr.prunedAt) >= minPruneInterval {
 		cr.prunedAt = now
 		cr.orderRecordWorkers()
 	}
 }
 
-// RecordWorkersFailed records that the workers could not be written to the cell's row. The write is retried.
+// RecordWorkersFailed records that the workers could not be stored. The write is retried.
 func (cr *Core) RecordWorkersFailed() {
 	for _, wk := range cr.sortedWorkers {
 		wk.recording = false
--- a/cell/unresolved.go
+++ b/cell/unresolved.go
@@ -65,7 +65,7 @@
 		for _, st := range rn.steps {
 			for at := range st.tasks {
 				for _, id := range slices.Clone(st.tasks[at].losses.unresolved) {
-					// A worker is missing from the cell's row only if its loss was saved for all jobs concerned.
+					// A worker is missing from the stored list only if its loss was saved for all jobs concerned.
 					if wk := cr.workers[id]; wk == nil || wk.fenced && wk.failedPolls == 0 {
 						st.tasks[at].losses.resolve(id)
 						cr.markDirty(js)
@@ -112,7 +112,7 @@
 	return lo
 }
 
-// pendingLoss is a lost worker whose loss is not yet saved for all affected jobs. Until then the cell's row names it, so that the next owner
+// pendingLoss is a lost worker whose loss is not yet saved for all affected jobs. Until then the stored list names it, so that the next owner
 // looks for it.
 type pendingLoss struct {
 	worker WorkerRef
@@ -134,7 +134,7 @@
 	return list
 }
 
-// trackPendingLoss keeps a removed worker in the cell's row until its loss is saved for the affected jobs.
+// trackPendingLoss keeps a removed worker in the stored list until its loss is saved for the affected jobs.
 func (cr *Core) trackPendingLoss(wk *worker, jobs []*jobState) {
 	pe := pendingLoss{worker: wk.endedRef(), jobs: map[*jobState]int{}}
 	for _, js := range jobs {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -91,7 +91,7 @@
 	roomUncertainUntil time.Time
 	// coldSince and coldUntil are the period after its start in which the worker is slow.
 	coldSince, coldUntil time.Time
-	// recorded means that the cell's row names the worker. recording means that a write that names it was ordered.
+	// recorded means that the stored list of workers in use names the worker. recording means that a write that names it was ordered.
 	recorded  bool
 	recording bool
 	// tokenCounter is shared by all incarnations of the worker.
@@ -168,7 +168,7 @@
 
 // remove removes a worker from the core.
 func (cr *Core) remove(wk *worker) {
-	cr.rowOutdated = true
+	cr.listOutdated = true
 	if !wk.info.ID.reusesName() {
 		delete(cr.tokenCounters, wk.name)
 	}
@@ -301,9 +301,9 @@
 	}
 	delete(cr.unresolved, id)
 	if _, gone := cr.departed[id]; gone {
-		// Remove the worker from the cell's row. The next owner would otherwise wait for its next incarnation again.
+		// Remove the worker from the stored list. The next owner would otherwise wait for its next incarnation again.
 		delete(cr.departed, id)
-		cr.rowOutdated = true
+		cr.listOutdated = true
 	}
 	cr.opts.Log(Decision{What: "worker resolved", Worker: id, Why: why})
 }
