--- a/cell/cell.go
+++ b/cell/cell.go
@@ -273,10 +273,15 @@
 // a call that waits up to a second.
 const maxRegistrationLag = 2 * time.Second
 
-// upToDate reports whether the confirmation of the ownership, the registrations and the evacuated data halls are newer than the last stall. After an outage of the store
-// the ownership may be confirmed before the core learns of rooms that shrank meanwhile.
+// upToDate reports whether the confirmation of the ownership, the registrations and the evacuated data halls are newer than the last stall. After
+// an outage of the store the ownership may be confirmed before the core learns of rooms that shrank meanwhile.
 func (cr *Core) upToDate() bool {
-	return !cr.confirmedAt.Before(cr.stallSeenAt) && !cr.registrationsAt.Before(cr.stallSeenAt) && !cr.evacuationsAt.Before(cr.stallSeenAt) && cr.confirmedAt.Sub(cr.registrationsAt) <= maxRegistrationLag
+	for _, at := range []time.Time{cr.confirmedAt, cr.registrationsAt, cr.evacuationsAt} {
+		if at.Before(cr.stallSeenAt) {
+			return false
+		}
+	}
+	return cr.confirmedAt.Sub(cr.registrationsAt) <= maxRegistrationLag
 }
 
 // Configure sets the queues. Queues that are gone keep their last policy for the jobs that they have accepted.
