--- a/cell/evacuation.go
+++ b/cell/evacuation.go
@@ -18,9 +18,9 @@
 	return len(cr.evacuatedHalls) > 0 && (wk.info.Hall == "" || cr.evacuatedHalls[wk.info.Hall])
 }
 
-// Shares of a cold worker's room.
+// Use of cold workers.
 const (
-	// coldRoomMin is the share of its room that is used on a worker that has just become cold. Fewer tasks than that would not warm it up.
+	// coldRoomMin is the share of its room that is used on a worker that has just become cold, since it works, though slowly.
 	coldRoomMin = 0.25
 	// weightCold prefers workers that are not cold.
 	weightCold = 2.0
