A watch continues from the oldest of the pages that it has read

A watch that has lost the history reads its table in pages of 500 rows, 13 for 6,001 workers, and went on from the version of the first. The store may answer from an earlier state; what changed between a staler page and the first was never read, since a row is written only when it changes. Starts for the former incarnations were refused, and each task then waited 12 s, because the new incarnation was not known to have seen a higher token. Tables of one page have one version, so that no smaller deployment shows it.

Change: the version of a read is that of its oldest page or part; a row that is newer than that is not taken for deleted; a new owner and a new leader refuse pages from before their claim.

Measured: TestStalePageLosesNoChange, TestOwnerReadsNothingOlderThanItsClaim.

--- a/fleet/cooldowns.go
+++ b/fleet/cooldowns.go
@@ -100,11 +100,12 @@
 	return listed
 }
 
-// readCooldowns reads the cooldowns that the previous leader left, and retries until it succeeds or the context ends.
-func (fl *Fleet) readCooldowns(ctx context.Context) cooldownChange {
+// readCooldowns reads the cooldowns that the previous leader left, as of the version of the claim or later, and retries until it
+// succeeds or the context ends.
+func (fl *Fleet) readCooldowns(ctx context.Context, claimed int64) cooldownChange {
 	found := cooldownChange{}
 	for ctx.Err() == nil {
-		rows, _, err := fl.readPart(ctx, tableCooldown, machinesCell)
+		rows, err := fl.readPartSince(ctx, tableCooldown, machinesCell, claimed)
 		if err != nil {
 			sleep(ctx, machineLeaseRetryDelay)
 			continue
--- a/fleet/machinecontroller.go
+++ b/fleet/machinecontroller.go
@@ -88,7 +88,7 @@
 // startMachineController starts the controller after this instance has claimed the machine lease.
 func (fl *Fleet) startMachineController(ctx context.Context, row ownerRow) {
 	// The previous leader writes no more cooldowns, since its lease is over.
-	inherited := fl.readCooldowns(ctx)
+	inherited := fl.readCooldowns(ctx, row.version)
 	ctx, cancel := context.WithCancel(ctx)
 	ct := fl.controller
 	ct.mu.Lock()
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -158,7 +158,7 @@
 }
 
 func (ow *owner) loadProgress(ctx context.Context) error {
-	rows, _, err := ow.fl.readPart(ctx, tableProgress, ow.name)
+	rows, err := ow.fl.readPartSince(ctx, tableProgress, ow.name, ow.rowVersion.Load())
 	for _, rw := range rows {
 		ow.storedProgress[job.ID(rw.Key)] = rw
 	}
@@ -166,7 +166,7 @@
 }
 
 func (ow *owner) loadUsedWorkers(ctx context.Context) error {
-	used, err := ow.fl.readUsedWorkers(ctx, ow.name)
+	used, err := ow.fl.readUsedWorkers(ctx, ow.name, ow.rowVersion.Load())
 	if err == nil {
 		ow.used = used
 	}
--- a/fleet/tablewatch.go
+++ b/fleet/tablewatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -233,7 +234,7 @@
 	wt.onChange(changed, sentAt)
 }
 
-// load reads the whole table. Rows that are no longer in it are reported as deleted.
+// load reads the whole table. Rows that are no longer in it are reported as deleted, unless they are newer than what was read.
 func (wt *tableWatch) load(ctx context.Context) error {
 	sentAt := wt.fl.opts.Now()
 	rows, version, err := wt.fl.readTable(ctx, wt.table)
@@ -247,7 +248,7 @@
 	var deleted []Row
 	wt.mu.Lock()
 	for place, rw := range wt.rows {
-		if !present[place] {
+		if !present[place] && rw.Version <= version {
 			deleted = append(deleted, Row{Table: rw.Table, Part: rw.Part, Key: rw.Key, Version: rw.Version + 1, Deleted: true})
 		}
 	}
@@ -259,7 +260,7 @@
 	return nil
 }
 
-// readTable reads all parts of a table. All changes made after the read are newer than the returned version.
+// readTable reads all parts of a table. All changes that the rows lack are newer than the returned version.
 func (fl *Fleet) readTable(ctx context.Context, table string) ([]Row, int64, error) {
 	rows, version, err := fl.readPart(ctx, table, "")
 	if err != nil || table == fl.opts.Format.OperatorTable() || table == fl.opts.Format.RegistryTable() {
@@ -271,30 +272,36 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	found, err := fl.readParts(ctx, table, slices.DeleteFunc(parts, func(part string) bool { return part == "" }))
-	return append(rows, found...), version, err
+	found, oldest, err := fl.readParts(ctx, table, slices.DeleteFunc(parts, func(part string) bool { return part == "" }))
+	return append(rows, found...), min(version, oldest), err
 }
 
-// readParts reads several parts of a table in parallel.
-func (fl *Fleet) readParts(ctx context.Context, table string, parts []string) ([]Row, error) {
+// readParts reads several parts of a table in parallel. It returns the version as of which the oldest of them was read.
+func (fl *Fleet) readParts(ctx context.Context, table string, parts []string) ([]Row, int64, error) {
 	found := make([][]Row, len(parts))
+	versions := make([]int64, len(parts))
 	gr := fl.readers.NewGroupContext(ctx)
 	for i, part := range parts {
 		gr.SubmitErr(func() (err error) {
-			found[i], _, err = fl.readPart(ctx, table, part)
+			found[i], versions[i], err = fl.readPart(ctx, table, part)
 			return err
 		})
 	}
 	if err := gr.Wait(); err != nil {
-		return nil, err
+		return nil, 0, err
+	}
+	oldest := int64(math.MaxInt64)
+	for _, version := range versions {
+		oldest = min(oldest, version)
 	}
-	return slices.Concat(found...), nil
+	return slices.Concat(found...), oldest, nil
 }
 
-// readPart reads all rows of a part, and returns the version as of which the first page was read.
+// readPart reads all rows of a part, and returns the version as of which the oldest page was read. A page may be older than the one
+// before it, since the store may answer from an earlier state.
 func (fl *Fleet) readPart(ctx context.Context, table, part string) ([]Row, int64, error) {
 	var rows []Row
-	var version int64
+	version := int64(math.MaxInt64)
 	qu := Query{Table: table, Part: part, Limit: readPageSize}
 	for {
 		callCtx, cancel := tcp.WithIdleTimeout(ctx, readTimeout)
@@ -303,9 +310,7 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		if version == 0 {
-			version = pg.Version
-		}
+		version = min(version, pg.Version)
 		rows = append(rows, pg.Rows...)
 		if !pg.More || len(pg.Rows) == 0 {
 			return rows, version, nil
@@ -315,6 +320,18 @@
 	}
 }
 
+// errStaleRead means that the store answered from a state before the one that a reader needs.
+var errStaleRead = errors.New("the store answered from an earlier state")
+
+// readPartSince reads all rows of a part as of a version or later. A new owner must not decide by what was stored before its claim.
+func (fl *Fleet) readPartSince(ctx context.Context, table, part string, since int64) ([]Row, error) {
+	rows, version, err := fl.readPart(ctx, table, part)
+	if err == nil && version < since {
+		return nil, errStaleRead
+	}
+	return rows, err
+}
+
 // sleep waits for the given time, or until the context ends.
 func sleep(ctx context.Context, span time.Duration) {
 	if span <= 0 {
--- a/fleet/usedworkers.go
+++ b/fleet/usedworkers.go
@@ -58,9 +58,9 @@
 	return &usedWorkers{cell: name, stored: map[cell.WorkerID]cell.WorkerRef{}}
 }
 
-// readUsedWorkers reads the workers on which the owners of a cell may have started tasks.
-func (fl *Fleet) readUsedWorkers(ctx context.Context, name string) (*usedWorkers, error) {
-	rows, _, err := fl.readPart(ctx, tableUsed, name)
+// readUsedWorkers reads the workers on which the owners of a cell may have started tasks, as of the version of the claim or later.
+func (fl *Fleet) readUsedWorkers(ctx context.Context, name string, claimed int64) (*usedWorkers, error) {
+	rows, err := fl.readPartSince(ctx, tableUsed, name, claimed)
 	if err != nil {
 		return nil, err
 	}
