A job counts as waiting until a worker has begun one of its tasks

Cause: a job left the count, and its state became running, when a start was ordered. Those starts were refused by the next incarnations of their workers, and the tasks waited for late starts to become impossible.

Change: the count and the state follow the first confirmation of a worker, by its answer or its list. The order of placement still follows the first order.

Measured: TestJobIsPendingUntilAWorkerConfirms.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -370,7 +370,7 @@
 func (cr *Core) Pending(queue job.QueueID) int {
 	count := 0
 	for _, js := range cr.openJobs {
-		if js.spec.Queue == queue && !js.started && !js.cancelled && !js.state.Ended() {
+		if js.spec.Queue == queue && !js.begun && !js.cancelled && !js.state.Ended() {
 			count++
 		}
 	}
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -304,3 +304,31 @@
 		}
 	}
 }
+
+// TestJobIsPendingUntilAWorkerConfirms checks that a job counts as waiting while no worker has begun any of its tasks: after the order, after a
+// refusal and while a start is unanswered. It is running once a worker confirms or lists a task.
+func TestJobIsPendingUntilAWorkerConfirms(t *testing.T) {
+	bd := newTestBed(t, 2)
+	bd.addJob("j", testEpoch, taskStep(1))
+	check := func(when string, pending int, want job.State) {
+		t.Helper()
+		if got := bd.core.Pending("q"); got != pending {
+			t.Errorf("%s: %d jobs are pending, want %d", when, got, pending)
+		}
+		if state, _ := bd.core.State("j"); state != want {
+			t.Errorf("%s: the job is %s, want %s", when, state, want)
+		}
+	}
+	first := bd.wantStarts(bd.plan(), 1)[0]
+	check("ordered", 1, job.Queued)
+	bd.answerOrder(first, WrongIncarnation)
+	check("refused", 1, job.Queued)
+	bd.advance(100 * time.Millisecond)
+	// A start after the loss of a worker is saved before it is ordered.
+	second := bd.wantStartsAfterSave(1)[0]
+	check("ordered again", 1, job.Queued)
+	bd.answerOrder(second, NoAnswer)
+	check("unanswered", 1, job.Queued)
+	bd.answerPoll(bd.waitForPoll(second.Worker), []Running{{Task: second.Task, Attempt: second.Attempt}}, nil)
+	check("listed by its worker", 0, job.Running)
+}
--- a/cell/orderresult.go
+++ b/cell/orderresult.go
@@ -55,6 +55,7 @@
 			pl.phase = running
 		}
 		pl.ackedAt, pl.seenAt = now, now
+		pl.step.job.begun = true
 		cr.recordStarted(pl)
 		wk.nextPoll = earliest(wk.nextPoll, now.Add(cr.opts.PollInterval))
 	case NoAnswer:
--- a/cell/pollresult.go
+++ b/cell/pollresult.go
@@ -122,6 +122,7 @@
 	if pl.phase == starting || pl.phase == uncertain {
 		pl.phase = running
 		pl.ackedAt = now
+		pl.step.job.begun = true
 	}
 	cr.recordStarted(pl)
 	cr.recordSurvival(pl, wk.aliveAt)
@@ -153,7 +154,7 @@
 	}
 	ts.placement = pl
 	wk.addPlacement(pl)
-	st.job.started = true
+	st.job.started, st.job.begun = true, true
 	return pl
 }
 
--- a/cell/task.go
+++ b/cell/task.go
@@ -31,7 +31,8 @@
 	version  int64
 	gen      int
 	savedGen int
-	started  bool
+	// started means that a start was ordered, begun that a worker has confirmed one of the job's tasks.
+	started, begun bool
 	// inherited means that an earlier owner may have started tasks of the job.
 	inherited bool
 	// overShare means that the organisation had submitted more than its share when the job arrived.
@@ -139,7 +140,7 @@
 		return js.storedState
 	case js.cancelled:
 		return job.Cancelled
-	case js.started:
+	case js.begun:
 		return job.Running
 	}
 	return job.Queued
@@ -154,6 +155,7 @@
 	js.inherited = sd.Spec.Epoch < cr.epoch
 	if pg := sd.Progress; pg != nil {
 		js.started = len(pg.DoneTasks) > 0 || len(pg.FailedAttempts) > 0 || len(pg.CompletedRuns) > 0
+		js.begun = js.started
 		js.state, js.storedState, js.runsDone = pg.State, pg.State, pg.CompletedRuns
 		for at := range sd.Spec.RunCount() {
 			if js.runsDone.Has(at) {
@@ -323,7 +325,7 @@
 	if ts.done {
 		return
 	}
-	st.job.started = true
+	st.job.started, st.job.begun = true, true
 	switch en.Reason {
 	case EndDone:
 		cr.runTimes.observeTask(st, pl, now)
