A cell is released in one transaction again

On a slow store the second may not come in time, and the next owner then waits for all leases.

Change: the changes go into the transaction that releases the cell, as far as they fit (96 workers); only what is beyond goes before.

Measured: TestReleaseOfACellTakesOneTransaction. That this was the cause of the finding is not shown.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -232,8 +232,9 @@
 		ow, store := startWriter(ctx, t)
 		ow.execute(ctx, cell.RecordWorkers{Workers: workerRefs("w7"), UnseenLossEpoch: 6})
 		time.Sleep(time.Minute)
-		if ow.commitHandover(ctx) {
-			t.Error("the handover claims that no other worker can hold a lease")
+		handover, complete := ow.handover(ctx)
+		if complete || !handover.change.isEmpty() {
+			t.Errorf("the handover claims that no other worker can hold a lease: %+v", handover.change)
 		}
 		if uw := storedUsed(t, store); len(uw.stored) != 1 || uw.head.UnseenLossEpoch != 6 {
 			t.Errorf("stored: %+v", uw)
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -408,24 +408,28 @@
 	return saves
 }
 
-// commitHandover stores the workers on which this owner or an earlier one may have started tasks, for the next owner. It reports
-// whether it did, so that no other worker can hold a lease. An owner that releases the cell before its takeover is complete
-// leaves the rows as it found them. The owner must have been stopped.
-func (ow *owner) commitHandover(ctx context.Context) bool {
+// handover returns the change that makes the store list the workers on which this owner or an earlier one may have started tasks,
+// for the transaction that releases the cell, and whether no other worker can hold a lease then. What does not fit into that
+// transaction is stored before. An owner that releases the cell before its takeover is complete leaves the rows as it found them.
+// The owner must have been stopped.
+func (ow *owner) handover(ctx context.Context) (last usedHandover, complete bool) {
+	last = usedHandover{ow: ow}
 	ow.writers.Wait()
 	ow.mu.Lock()
 	if !ow.takenOver {
 		ow.mu.Unlock()
-		return false
+		return last, false
 	}
-	change := ow.used.diff(ow.core.Release(ow.fl.opts.Now()), ow.core.UnseenLossEpoch())
+	last.change = ow.used.diff(ow.core.Release(ow.fl.opts.Now()), ow.core.UnseenLossEpoch())
 	ow.mu.Unlock()
-	for !change.isEmpty() {
-		if !ow.commitPart(ctx, nil, &change) {
-			return false
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	for last.change.entryCount() > maxHandoverEntries {
+		if !ow.commitPart(ctx, nil, &last.change) {
+			return usedHandover{ow: ow}, false
 		}
 	}
-	return true
+	return last, true
 }
 
 // canMove reports whether the cell can move to another instance: it has been here for some time, nothing of earlier owners is
--- a/fleet/release.go
+++ b/fleet/release.go
@@ -72,15 +72,18 @@
 	}
 	fl.mu.Unlock()
 	ow.stop()
-	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	row := ownerRow{Released: ow.commitHandover(callCtx)}
+	handover, complete := ow.handover(ctx)
 	// commitRelease logs a failure. The other instances then find that the owner has left or is dead.
-	_ = fl.commitRelease(ctx, ow.name, ow.rowVersion.Load(), row, nil)
+	_ = fl.commitRelease(ctx, ow.name, ow.rowVersion.Load(), ownerRow{Released: complete}, handover)
+}
+
+// txPart is a part of a transaction.
+type txPart interface {
+	addTo(tx *Tx) error
 }
 
-// commitRelease stores that a cell has no owner, together with the cooldowns of machines, and notifies the peers.
-func (fl *Fleet) commitRelease(ctx context.Context, name string, version int64, row ownerRow, cooldowns cooldownChange) error {
+// commitRelease stores that a cell has no owner, together with what its next owner has to know, and notifies the peers.
+func (fl *Fleet) commitRelease(ctx context.Context, name string, version int64, row ownerRow, handover txPart) error {
 	raw, err := json.Marshal(row)
 	if err != nil {
 		return err
@@ -89,7 +92,7 @@
 	defer cancel()
 	place := Place{tableControl, name, ownerKey}
 	tx := Tx{Expect: []Expect{{place, version}}, Write: []Row{{Table: place.Table, Part: place.Part, Key: place.Key, Value: raw}}}
-	if err := cooldowns.addTo(&tx); err != nil {
+	if err := handover.addTo(&tx); err != nil {
 		return err
 	}
 	newest, err := fl.store.Commit(callCtx, tx)
--- a/fleet/usedworkers.go
+++ b/fleet/usedworkers.go
@@ -21,8 +21,10 @@
 	usedHeadKey = "head"
 	// usedHeadEntries is the number of entries that the head adds to a transaction: its condition and the row.
 	usedHeadEntries = 2
-	// maxTxEntries is the maximum number of entries of a transaction.
-	maxTxEntries = 100
+	// maxTxEntries is the maximum number of entries of a transaction. maxHandoverEntries is how many workers change in the one that
+	// releases a cell, beside the cell's row and its condition.
+	maxTxEntries       = 100
+	maxHandoverEntries = maxTxEntries - usedHeadEntries - 2
 	// maxKeyBytes is the maximum length of a key.
 	maxKeyBytes = 200
 )
@@ -112,7 +114,25 @@
 }
 
 // isEmpty reports whether nothing is left to be stored.
-func (uc *usedChange) isEmpty() bool { return len(uc.put)+len(uc.remove) == 0 && !uc.headOnly }
+func (uc *usedChange) isEmpty() bool { return uc.entryCount() == 0 && !uc.headOnly }
+
+// entryCount returns the number of entries of the change besides the head.
+func (uc *usedChange) entryCount() int { return len(uc.put) + len(uc.remove) }
+
+// usedHandover is the change of the workers in use that an owner stores when it releases its cell.
+type usedHandover struct {
+	ow     *owner
+	change usedChange
+}
+
+// addTo adds the change to the transaction that releases the cell.
+func (uh usedHandover) addTo(tx *Tx) error {
+	if uh.change.isEmpty() {
+		return nil
+	}
+	_, err := uh.ow.used.addTo(tx, uh.ow.epoch, uh.change)
+	return err
+}
 
 // take splits off the part of the change that fits into a number of entries. New workers come first, since tasks wait for them.
 func (uc *usedChange) take(entries int) usedChange {
--- a/fleet/usedworkers_test.go
+++ b/fleet/usedworkers_test.go
@@ -126,3 +126,30 @@
 		t.Errorf("key %q", key)
 	}
 }
+
+// TestReleaseOfACellTakesOneTransaction checks that an owner whose list of workers is out of date stores it in the transaction that
+// releases the cell, so that a slow store delays a handover no more than it did for the cell's row alone. A list with more changes
+// takes as many transactions as it needs.
+func TestReleaseOfACellTakesOneTransaction(t *testing.T) {
+	for workers, want := range map[int]int{maxHandoverEntries: 1, 3 * maxHandoverEntries: 3} {
+		withFakeClock(t, func(ctx context.Context, t *testing.T) {
+			ow, store := startWriter(ctx, t)
+			ow.execute(ctx, cell.RecordWorkers{Workers: poolRefs(workers)})
+			time.Sleep(10 * time.Minute)
+			// The core knows none of the workers any more, so all rows go.
+			ow.takenOver = true
+			before := store.count()
+			ow.fl.release(ctx, ow)
+			if got := store.count() - before; got != want {
+				t.Errorf("%d changes: %d transactions, want %d", workers, got, want)
+			}
+			var row ownerRow
+			if err := readJSON(ctx, ow.fl.store, ow.rowPlace(), &row); err != nil || !row.Released {
+				t.Errorf("%d changes: the cell's row is %+v, %v", workers, row, err)
+			}
+			if left := len(storedUsed(t, store).stored); left != 0 {
+				t.Errorf("%d workers are still listed", left)
+			}
+		})
+	}
+}
