A start that another incarnation has answered does not wait for a late one

Cause: an answer by another incarnation ended the worker, and all starts to it without a confirmation, the answered ones too, waited until an incarnation of its name has seen a higher token. The workers had come back under other names. The answered starts were not carried out: the call was not sent, or refused with 421.

Change: a start that is answered so is settled, also after its worker is gone.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -118,6 +118,20 @@
 	}
 }
 
+// settleLateStart releases a task whose start was answered by another incarnation: it was not carried out and will not be. Without that the
+// task would wait for an incarnation under the name of a worker that may have come back under another one.
+func (cr *Core) settleLateStart(order Start) {
+	cr.lateStarts = slices.DeleteFunc(cr.lateStarts, func(ls *lateStart) bool {
+		st := cr.findStep(order.Task)
+		if st == nil || ls.task != &st.tasks[order.Task.Index] || ls.task.lateStart != ls || ls.former.ID != order.Worker || ls.token != order.Token {
+			return false
+		}
+		ls.task.lateStart, ls.job.fullyPlaced = nil, false
+		cr.listOutdated = true
+		return true
+	})
+}
+
 // resolveLateStarts releases the tasks whose late starts are void because an incarnation of the worker has seen a higher token.
 func (cr *Core) resolveLateStarts(name WorkerName, seen Token) {
 	if len(cr.lateStarts) == 0 {
--- a/cell/incarnation_test.go
+++ b/cell/incarnation_test.go
@@ -172,3 +172,36 @@
 		}
 	}
 }
+
+// Guards against waiting for the next incarnation of a worker after its address has answered that another one runs there. The starts that were
+// answered so were not carried out, and the worker may have come back under another name, so that no answer under this one ever comes.
+func TestStartsAnsweredByAnotherIncarnationAreTriedElsewhere(t *testing.T) {
+	bd := newTestBed(t, 2)
+	bd.autoSave = true
+	gone := bd.core.workers["w0"].info
+	gone.ID = NewWorkerID("w0", 1000)
+	bd.core.remove(bd.core.workers["w0"])
+	bd.core.Unregister(bd.now, "w1")
+	bd.core.Register(bd.now, gone)
+	bd.core.WorkersRecorded([]WorkerRef{{ID: gone.ID}})
+	bd.answerPoll(bd.waitForPoll(gone.ID), nil, nil)
+	bd.addJob("j", testEpoch, taskStep(2))
+	bd.advance(unregisteredGrace)
+	starts := bd.wantStarts(bd.plan(), 2)
+	for _, st := range starts {
+		if st.Worker != gone.ID {
+			t.Fatalf("%v starts on %s", st.Task, st.Worker)
+		}
+		bd.answerOrder(st, WrongIncarnation)
+	}
+	bd.register("w1")
+	again := 0
+	for range 10 {
+		bd.advance(100 * time.Millisecond)
+		bd.answerPendingPolls()
+		again += len(startsIn(bd.plan()))
+	}
+	if again != 2 {
+		t.Errorf("%d of 2 tasks are started again within a second", again)
+	}
+}
--- a/cell/orderresult.go
+++ b/cell/orderresult.go
@@ -31,14 +31,17 @@
 
 func (cr *Core) handleStart(now time.Time, order Start, od OrderResult) {
 	wk := cr.workers[order.Worker]
-	if wk == nil {
+	if od.Outcome == WrongIncarnation {
+		if wk != nil {
+			cr.handleWorkerEnd(now, wk, "another incarnation answers", order.Token)
+		}
+		cr.settleLateStart(order)
 		return
 	}
-	wk.observeClock(od.Clock, od.Received)
-	if od.Outcome == WrongIncarnation {
-		cr.handleWorkerEnd(now, wk, "another incarnation answers", order.Token)
+	if wk == nil {
 		return
 	}
+	wk.observeClock(od.Clock, od.Received)
 	pl := wk.placements[order.Task]
 	if pl == nil || pl.attempt != order.Attempt {
 		return
