--- a/cell/model_evacuation_test.go
+++ b/cell/model_evacuation_test.go
@@ -133,6 +133,7 @@
 func TestModelOfEvacuationsWhatIsLeft(t *testing.T) {
 	for _, seed := range []int64{
 		90000812, 90004143, 90005311, 91002185, 91002187, 91002299, 91002405, 91002561, 91002633, 91002711, 91003727, 91005811, 91005955, 92000147, 92000253, 92003355,
+		95000319, 95000651, 95000729, 95001087, 95001212, 95001297, 95001327, 95001329, 95001367, 95001925, 95001937,
 	} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playModel(t, seed, newEvacuationModel(seed)) })
 	}
--- a/cell/model_run_test.go
+++ b/cell/model_run_test.go
@@ -140,5 +140,18 @@
 	for _, seed := range []int64{7702151, 7703313, 7703436} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playWorld(t, seed) })
 	}
-	t.Run("8801092", func(t *testing.T) { playModel(t, 8801092, newModel(8801092, true)) })
+	for _, seed := range []int64{8801092, 95000938, 95001465} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playModel(t, seed, newModel(seed, true)) })
+	}
+}
+
+// TestModelOfReplacedOwnersWhatIsLeft replays worlds with dense faults of owners in which a job is given up for losses that were none, or a task that
+// crashes its workers is started once more.
+func TestModelOfReplacedOwnersWhatIsLeft(t *testing.T) {
+	for _, seed := range []int64{
+		95000127, 95000389, 95000470, 95000483, 95000547, 95000606, 95000845, 95000849, 95000917, 95000919, 95000959,
+		95001096, 95001117, 95001197, 95001205, 95001302, 95001427, 95001496, 95001613, 95001740, 95001809, 95001829,
+	} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playModel(t, seed, newDenseModel(seed)) })
+	}
 }
