--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -92,6 +92,13 @@
 	return pg
 }
 
+// changes returns all changes since the store was created, in their order.
+func (ms *memStore) changes() []Row {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return slices.Clone(ms.history)
+}
+
 func (ms *memStore) feed(ctx context.Context, table string, after int64, wait time.Duration) Page {
 	timer := time.After(wait)
 	for {
--- a/fleet/machinelease_test.go
+++ b/fleet/machinelease_test.go
@@ -336,7 +336,7 @@
 			}
 		}
 		lease, largest := 0, 0
-		for _, rw := range store.mm.history {
+		for _, rw := range store.mm.changes() {
 			if rw.Table == tableControl {
 				lease = max(lease, len(rw.Value))
 			}
--- a/fleet/usedworkers_test.go
+++ b/fleet/usedworkers_test.go
@@ -37,20 +37,20 @@
 			if got, most := store.count(), workers/(maxTxEntries-usedHeadEntries-2)+2; got > most {
 				t.Errorf("%d workers: %d transactions, want %d at most", workers, got, most)
 			}
-			before, history := store.count(), len(store.mm.history)
+			before, history := store.count(), len(store.mm.changes())
 			ow.execute(ctx, cell.RecordWorkers{Workers: refs[1:]})
 			time.Sleep(time.Minute)
 			if got := store.count() - before; got != 1 {
 				t.Errorf("%d workers: one that joins and one that leaves take %d transactions", workers, got)
 			}
-			if rows := store.mm.history[history:]; len(rows) != 3 {
+			if rows := store.mm.changes()[history:]; len(rows) != 3 {
 				t.Errorf("%d workers: one that joins and one that leaves change %d rows", workers, len(rows))
 			}
 			uw := storedUsed(t, store)
 			if len(uw.stored) != workers-1 || uw.stored[refs[workers-1].ID] != refs[workers-1] {
 				t.Errorf("%d of %d workers are stored", len(uw.stored), workers-1)
 			}
-			for _, rw := range store.mm.history {
+			for _, rw := range store.mm.changes() {
 				largest[workers] = max(largest[workers], len(rw.Value))
 			}
 			if now := store.mm.read(Query{Table: tableControl, Part: "pool"}).Rows[0].Version; now != controlBefore {
--- a/fleet/waverows_test.go
+++ b/fleet/waverows_test.go
@@ -25,11 +25,11 @@
 		}
 		ct.saveDone(7, done[:len(done)-1])
 		time.Sleep(10 * time.Second)
-		before := len(store.mm.history)
+		before := len(store.mm.changes())
 		ct.saveDone(7, done)
 		time.Sleep(10 * time.Second)
 		changed := 0
-		for _, rw := range store.mm.history[before:] {
+		for _, rw := range store.mm.changes()[before:] {
 			if rw.Key != ownerKey {
 				changed++
 			}
