The end of an attempt of an earlier owner is saved before it is acknowledged

What callers saw: nothing outside of the model; there a job that could be done was failed ("is given up without a cause").

Cause: an owner that read the lapsed or stopped end of an attempt of an earlier owner stopped counting the attempt as open, but left the row as it was and let the worker forget the end. The owner after it found the attempt in the row, and took a later end of that worker for a loss of the task.

Change: such an end marks the job for a save; it is acknowledged after the save like all others. Why it holds: the worker repeats the end until it is acknowledged, so the row or the worker tells the next owner.

--- a/cell/task.go
+++ b/cell/task.go
@@ -309,7 +309,11 @@
 func (cr *Core) handleEnd(now time.Time, wk *worker, st *step, en End) {
 	ts := &st.tasks[en.Task.Index]
 	ts.attempt = max(ts.attempt, en.Attempt)
-	ts.losses.resolve(wk.info.ID)
+	if slices.Contains(ts.losses.unresolved, wk.info.ID) {
+		// Without a save the next owner takes the end of this worker for a loss of the task.
+		ts.losses.resolve(wk.info.ID)
+		cr.markDirty(st.job)
+	}
 	pl := wk.placements[en.Task]
 	if pl != nil && pl.attempt == en.Attempt {
 		if en.Reason == EndDone {
