The end of an older attempt leaves the newer one in the row

What callers would see: a start too many of a task that crashes its workers. Not seen outside of a test.

Cause: the row names workers, not attempts. An end of attempt 1 that a worker still listed beside the running attempt 2 settled both; since that was saved also for tasks without losses, so that owner and worker ending together left no trace of attempt 2. For tasks with a loss it was so before.

Change: an end settles the attempt in the row only if the worker lists no newer attempt of the task. Why it holds: the newer one is either listed, in the same answer, or void, since the poll had the higher token.

Measured: TestEndOfAnOlderAttemptLeavesTheNewerOneInTheRow fails without the change.

--- a/cell/endofinherited_test.go
+++ b/cell/endofinherited_test.go
@@ -12,6 +12,7 @@
 	for _, reason := range []EndReason{EndLeaseExpired, EndStopped} {
 		t.Run(string(reason), func(t *testing.T) {
 			bd := newTestBed(t, 1)
+			// The row names w0 for the first task of the first step.
 			row := &job.Progress{Unresolved: map[string]map[string]job.Bitset{"w0": {"0.0": {1}}}}
 			bd.core.workers["w0"].fenced = false
 			bd.core.Add(bd.now, StoredJob{Spec: &job.Spec{ID: "j", Queue: "q", Pool: testPool, Steps: []job.Step{taskStep(1)}, Epoch: 1, AcceptedAt: bd.now}, Progress: row, Version: 1})
@@ -27,6 +28,20 @@
 	}
 }
 
+// Guards against forgetting an attempt that runs because an older one of its task ended on the same worker: the row must go on naming the worker, or
+// a crash is missed if owner and worker end together.
+func TestEndOfAnOlderAttemptLeavesTheNewerOneInTheRow(t *testing.T) {
+	bd := newTestBed(t, 1)
+	row := &job.Progress{Unresolved: map[string]map[string]job.Bitset{"w0": {"0.0": {1}}}}
+	bd.core.workers["w0"].fenced = false
+	bd.core.Add(bd.now, StoredJob{Spec: &job.Spec{ID: "j", Queue: "q", Pool: testPool, Steps: []job.Step{taskStep(1)}, Epoch: 1, AcceptedAt: bd.now}, Progress: row, Version: 1})
+	tk := job.Task{Job: "j"}
+	bd.answerPoll(bd.waitForPoll("w0"), []Running{{Task: tk, Attempt: 2}}, []End{{Number: 1, Task: tk, Attempt: 1, Reason: EndStopped}})
+	if saved := bd.core.jobs["j"].progress(); saved.Unresolved["w0"] == nil {
+		t.Errorf("the row is %+v, want one that names the worker of the running attempt", saved)
+	}
+}
+
 // savedProgress returns the progress of a job in the save among orders, or nil.
 func savedProgress(orders []Order, id job.ID) *job.Progress {
 	for _, od := range orders {
--- a/cell/pollresult.go
+++ b/cell/pollresult.go
@@ -72,7 +72,9 @@
 	for at := range pr.Running {
 		listed[pr.Running[at].Task] = &pr.Running[at]
 	}
+	wk.listed = listed
 	cr.handleEnds(now, wk, pr.Ended)
+	wk.listed = nil
 	for _, rn := range pr.Running {
 		cr.handleRunning(now, wk, rn)
 	}
--- a/cell/task.go
+++ b/cell/task.go
@@ -309,8 +309,9 @@
 func (cr *Core) handleEnd(now time.Time, wk *worker, st *step, en End) {
 	ts := &st.tasks[en.Task.Index]
 	ts.attempt = max(ts.attempt, en.Attempt)
-	if slices.Contains(ts.losses.unresolved, wk.info.ID) {
-		// Without a save the next owner takes the end of this worker for a loss of the task.
+	if slices.Contains(ts.losses.unresolved, wk.info.ID) && !wk.runsNewer(en) {
+		// The end is acknowledged after the save. Otherwise the next owner would find the attempt in the row alone, and take a later end of the
+		// worker for a loss of the task.
 		ts.losses.resolve(wk.info.ID)
 		cr.markDirty(st.job)
 	}
@@ -347,6 +348,15 @@
 	}
 }
 
+// runsNewer reports whether the worker lists a newer attempt of a task that has ended as running.
+func (wk *worker) runsNewer(en End) bool {
+	if rn := wk.listed[en.Task]; rn != nil && rn.Attempt > en.Attempt {
+		return true
+	}
+	fr := wk.foreign[en.Task]
+	return fr != nil && fr.attempt > en.Attempt
+}
+
 // taskDone marks a task as completed. For a gang it marks all members.
 func (cr *Core) taskDone(now time.Time, st *step, tk job.Task) {
 	js := st.job
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -133,9 +133,11 @@
 	// leaseExpired holds the attempts whose leases expired while the worker did not answer. They may have ended with the worker.
 	leaseExpired []*placement
 	foreign      map[job.Task]*foreignRun
-	unackedEnds  []unackedEnd
-	lastEndRead  int64
-	ackedEnd     int64
+	// listed holds the running attempts in the answer that is being handled.
+	listed      map[job.Task]*Running
+	unackedEnds []unackedEnd
+	lastEndRead int64
+	ackedEnd    int64
 	// startUnsettled means that a start was not answered and no poll with a higher token has settled it yet.
 	startUnsettled bool
 	// confirmedAck is the newest acknowledgement that the worker has confirmed.
