An idle timeout may expire before its timer is assigned

Cause: the callback of the timer reads the field that is assigned the timer after it was started. Evidence: the two stacks of the race detector (WithIdleTimeout writes, finish reads).

Change: both under the lock. Why it holds: the callback waits until the timer is assigned.

Measured: TestIdleTimeoutThatExpiresAtOnce fails before (race detector), passes now; package tcp passes with the race detector.

--- a/tcp/idletimeout.go
+++ b/tcp/idletimeout.go
@@ -18,8 +18,8 @@
 	timeout  time.Duration
 	deadline time.Time
 	done     chan struct{}
+	mu       sync.Mutex // guards the fields below
 	timer    *time.Timer
-	mu       sync.Mutex // guards err
 	err      error
 }
 
@@ -27,7 +27,10 @@
 // deadline. A large response takes long on a slow link, and a retry would take just as long.
 func WithIdleTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	ic := &idleContext{Context: ctx, timeout: timeout, deadline: time.Now().Add(maxIdleTimeouts * timeout), done: make(chan struct{})}
+	// The timeout may expire before its timer is assigned.
+	ic.mu.Lock()
 	ic.timer = time.AfterFunc(timeout, func() { ic.finish(context.DeadlineExceeded) })
+	ic.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { ic.finish(ctx.Err()) })
 	return ic, func() {
 		stop()
@@ -37,9 +40,9 @@
 
 // finish ends the context with the given error, unless it has already ended.
 func (ic *idleContext) finish(err error) {
-	ic.timer.Stop()
 	ic.mu.Lock()
 	defer ic.mu.Unlock()
+	ic.timer.Stop()
 	if ic.err == nil {
 		ic.err = err
 		close(ic.done)
--- a/tcp/idletimeout_test.go
+++ b/tcp/idletimeout_test.go
@@ -57,3 +57,15 @@
 		t.Errorf("ended with its parent, error %v", child.Err())
 	}
 }
+
+// Guards against a timeout that expires before the call has its timer, as on a busy machine: that ended the process or raced with the caller.
+func TestIdleTimeoutThatExpiresAtOnce(t *testing.T) {
+	for range 2000 {
+		ctx, cancel := WithIdleTimeout(context.Background(), time.Nanosecond)
+		<-ctx.Done()
+		if err := ctx.Err(); err != context.DeadlineExceeded {
+			t.Fatalf("the call ended with %v, want %v", err, context.DeadlineExceeded)
+		}
+		cancel()
+	}
+}
