--- a/tcp/idletimeout_test.go
+++ b/tcp/idletimeout_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// Guards against a timeout that expires before the call has its timer, as on a busy machine: that ended the process or raced with the caller.
+// Guards against a timeout that expires before the call has its timer, as on a busy machine: its callback raced with the assignment of the timer.
 func TestIdleTimeoutThatExpiresAtOnce(t *testing.T) {
 	for range 2000 {
 		ctx, cancel := WithIdleTimeout(context.Background(), time.Nanosecond)
