Jobs that stand are reported with what keeps them, and since when

Cause: a start, an end and a loss are logged, a wait is not.

Change: the owner of a cell notes why a round left a job waiting, and once a second logs event 852 for jobs that have had a ready task and nothing running for a second: a line a reason, at most eight, each with up to eight jobs by name; for a limit with what is used, allowed, held elsewhere.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -158,6 +158,10 @@
 	demandAt time.Time
 	// admission is the account that new jobs are admitted by.
 	admission admissionAccount
+	// roundSkipped is why the newest plan had no round of placement, or empty. waits are the waiting jobs found at waitsReportedAt.
+	roundSkipped    WaitReason
+	waits           []Wait
+	waitsReportedAt time.Time
 }
 
 // savedState is the generation and state of a job that a save contains.
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -16,6 +16,7 @@
 		return
 	}
 	if !cr.mayStart(st, len(waiting)) {
+		st.job.waitReason = cr.limitWaitReason(st.job.spec.Organisation)
 		return
 	}
 	for _, at := range waiting {
--- a/cell/options.go
+++ b/cell/options.go
@@ -52,6 +52,8 @@
 	Verdict *Verdict
 	// LossCount is the number of workers that had ended while running the task when it was started.
 	LossCount int
+	// Wait is set in reports of waiting jobs.
+	Wait *Wait
 }
 
 // Defaults of the options.
--- a/cell/place.go
+++ b/cell/place.go
@@ -26,8 +26,10 @@
 
 // placeTasks starts waiting tasks, in the order of sortJobs.
 func (cr *Core) placeTasks(now time.Time) {
+	cr.roundSkipped = ""
 	if !cr.startWindow.canStart() {
 		// The next answer triggers another round, so sorting the jobs now would be wasted work.
+		cr.roundSkipped = WaitStartWindow
 		return
 	}
 	waiting := cr.pendingJobs(now)
@@ -36,6 +38,7 @@
 	}
 	rd := cr.newRound(now)
 	if len(rd.usable) == 0 {
+		cr.roundSkipped = WaitNoWorker
 		return
 	}
 	sorted := cr.sortJobs(now, waiting, len(rd.usable))
@@ -50,10 +53,12 @@
 func (cr *Core) placeJobs(rd *round, jobs []*jobState) {
 	for _, js := range jobs {
 		if js.inherited && len(cr.unresolved) > 0 {
+			js.waitReason = WaitUnresolved
 			continue
 		}
 		if !cr.startWindow.canStart() {
-			return
+			js.waitReason = WaitStartWindow
+			continue
 		}
 		cr.placeJob(rd, js)
 	}
@@ -233,9 +238,27 @@
 	return runs
 }
 
+// holdReason returns why a task may not be started on any worker yet, or an empty reason.
+func (cr *Core) holdReason(now time.Time, ts *taskState) WaitReason {
+	switch {
+	case !ts.lostAt.IsZero() && !cr.confirmedAt.After(ts.lostAt):
+		return WaitLossUnconfirmed
+	case ts.losses.reachesLimit(len(ts.losses.unresolved)):
+		// One more loss would reach the limit. The task waits until its unresolved attempts are known not to be losses.
+		return WaitLossLimit
+	case ts.notBefore.After(now):
+		cr.wakeAt(ts.notBefore)
+		return WaitBackoff
+	case ts.lateStart != nil:
+		cr.wakeAt(ts.lateStart.expiresAt)
+		return WaitLateStart
+	}
+	return ""
+}
+
 // placeStep starts waiting tasks of a step. It reports whether no task is left waiting.
 func (cr *Core) placeStep(rd *round, st *step) bool {
-	now, room := rd.now, st.spec.ResourceRequest()
+	now, room, js := rd.now, st.spec.ResourceRequest(), st.job
 	var waiting, suspects []int
 	waits, intended := false, false
 	for at := range st.tasks {
@@ -244,23 +267,8 @@
 			continue
 		}
 		intended = intended || ts.intent != nil
-		if !ts.lostAt.IsZero() && !cr.confirmedAt.After(ts.lostAt) {
-			waits = true
-			continue
-		}
-		if ts.losses.reachesLimit(len(ts.losses.unresolved)) {
-			// One more loss would reach the limit. The task waits until its unresolved attempts are known not to be losses.
-			waits = true
-			continue
-		}
-		if ts.notBefore.After(now) {
-			cr.wakeAt(ts.notBefore)
-			waits = true
-			continue
-		}
-		if ts.lateStart != nil {
-			cr.wakeAt(ts.lateStart.expiresAt)
-			waits = true
+		if reason := cr.holdReason(now, ts); reason != "" {
+			js.waitReason, waits = reason, true
 			continue
 		}
 		if ts.losses.suspected() && !st.spec.Gang {
@@ -273,7 +281,7 @@
 		return !waits
 	}
 	if !cr.mayStart(st, 1) {
-		return false
+		return js.waitFor(cr.limitWaitReason(js.spec.Organisation))
 	}
 	if st.waitingSince.IsZero() {
 		st.waitingSince = now
@@ -283,20 +291,34 @@
 		cr.preempt(rd, st, len(waiting))
 		cr.reserve(rd, st, len(waiting))
 		cr.reserveForSuspects(rd, st, len(suspects))
-		return false
+		return js.waitFor(WaitNoRoom)
 	}
-	if cr.queues[st.job.spec.Queue].Advice != nil && !cr.ensureTickets(now, st, rd.usable) {
-		return false
+	if cr.queues[js.spec.Queue].Advice != nil && !cr.ensureTickets(now, st, rd.usable) {
+		return js.waitFor(WaitTickets)
 	}
 	if st.spec.Gang {
+		js.waitReason = WaitGang
 		cr.placeGang(rd, st, waiting)
 		return false
 	}
-	waits = !cr.placeSuspects(rd, st, suspects) || waits
-	unplaced := 0
+	if !cr.placeSuspects(rd, st, suspects) {
+		js.waitReason, waits = WaitOwnWorker, true
+	}
+	return cr.placeWaiting(rd, st, waiting) && !waits
+}
+
+// placeWaiting starts waiting tasks of a step that are not suspects. It reports whether none is left waiting.
+func (cr *Core) placeWaiting(rd *round, st *step, waiting []int) bool {
+	now, room, js := rd.now, st.spec.ResourceRequest(), st.job
+	waits, unplaced := false, 0
 	for _, at := range waiting {
-		if !cr.startWindow.canStart() || cr.deferred(rd, st, at) || !cr.mayStart(st, 1) {
-			return false
+		switch {
+		case !cr.startWindow.canStart():
+			return js.waitFor(WaitStartWindow)
+		case cr.deferred(rd, st, at):
+			return js.waitFor(WaitMachineLimit)
+		case !cr.mayStart(st, 1):
+			return js.waitFor(cr.limitWaitReason(js.spec.Organisation))
 		}
 		if unplaced > 0 && st.tasks[at].intent == nil {
 			// All tasks of a step have the same size.
@@ -305,7 +327,7 @@
 		}
 		cd := cr.pick(rd, st, at)
 		if cd == nil && cr.packed(rd, st, at) {
-			return false
+			return js.waitFor(WaitMachineLimit)
 		}
 		if cd == nil {
 			unplaced++
@@ -313,7 +335,7 @@
 		}
 		if !cr.ensureIntent(rd, st, at, cd) {
 			rd.reserveIntent(st.tasks[at].intent)
-			waits = true
+			js.waitReason, waits = WaitIntent, true
 			continue
 		}
 		cr.startTask(now, st, at, cd, st.tasks[at].attempt+1)
@@ -325,12 +347,18 @@
 		cr.planAhead(rd, st, waiting)
 		cr.preempt(rd, st, unplaced)
 		cr.reserve(rd, st, unplaced)
-		return false
+		return js.waitFor(WaitNoRoom)
 	}
 	st.waitingSince = time.Time{}
 	return !waits
 }
 
+// waitFor records why a task of the job is left waiting. It returns false, which callers return as "no task is left waiting".
+func (js *jobState) waitFor(reason WaitReason) bool {
+	js.waitReason = reason
+	return false
+}
+
 // bestCandidate returns the worker with the lowest score for a task, or nil if there is none.
 func (cr *Core) bestCandidate(now time.Time, st *step, at int, usable []*candidate) *candidate {
 	var best *candidate
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -31,6 +31,7 @@
 	cr.removeEnded()
 	cr.recordWorkers()
 	cr.planStops(now)
+	cr.roundSkipped = WaitUnconfirmed
 	if cr.mayRenew(now) && cr.upToDate() && !cr.startingStopped {
 		cr.placeTasks(now)
 		cr.moveStragglers(now)
@@ -39,6 +40,7 @@
 	}
 	cr.planPolls(now)
 	cr.save(now)
+	cr.reportWaits(now)
 	return cr.orders
 }
 
--- a/cell/task.go
+++ b/cell/task.go
@@ -55,6 +55,9 @@
 	hasUnresolved bool
 	// archived means that the job has been removed from the table of open jobs.
 	archived bool
+	// idleAt is when an attempt of the job was last over. waitReason is why the newest round left a task of the job waiting.
+	idleAt     time.Time
+	waitReason WaitReason
 }
 
 // run is one execution of all steps of a job.
--- /dev/null
+++ b/cell/wait.go
@@ -0,0 +1,198 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/aspenseam/aspenseam/job"
+)
+
+// Reports of jobs that have nothing running although a task of theirs is ready. They tell operators what keeps a job, and since when.
+
+// Limits of the reports of waiting jobs.
+const (
+	// waitReportInterval is how often waiting jobs are reported.
+	waitReportInterval = time.Second
+	// waitReportAfter is how long a job has to wait until it is reported.
+	waitReportAfter = time.Second
+	// maxWaitReports is the maximum number of groups of waiting jobs in one report.
+	maxWaitReports = 8
+	// maxWaitJobs is the maximum number of jobs that a group names.
+	maxWaitJobs = 8
+)
+
+// WaitReason is the reason why a job has nothing running.
+type WaitReason string
+
+// The reasons.
+const (
+	// WaitAtLimit: the organisation has reached what the cell may run for it.
+	WaitAtLimit WaitReason = "atLimit"
+	// WaitNoAllowance: this owner has not written its allowance for the organisation yet.
+	WaitNoAllowance WaitReason = "noAllowance"
+	// WaitUnresolved: an earlier owner may have started the job on a worker that is unresolved.
+	WaitUnresolved WaitReason = "unresolved"
+	// WaitUnconfirmed: the ownership or the registrations were not confirmed recently, or nothing can be saved.
+	WaitUnconfirmed WaitReason = "unconfirmed"
+	// WaitNoWorker: no worker accepts tasks.
+	WaitNoWorker WaitReason = "noWorker"
+	// WaitStartWindow: too many starts are unanswered.
+	WaitStartWindow WaitReason = "startWindow"
+	// WaitNoRoom: no worker on which the task may run has room.
+	WaitNoRoom WaitReason = "noRoom"
+	// WaitMachineLimit: the job is late, and machines are left to other pools.
+	WaitMachineLimit WaitReason = "machineLimit"
+	// WaitLossUnconfirmed: the ownership was not confirmed since the task was lost.
+	WaitLossUnconfirmed WaitReason = "lossUnconfirmed"
+	// WaitLossLimit: one more loss would fail the job, and the outcome of attempts is unknown.
+	WaitLossLimit WaitReason = "lossLimit"
+	// WaitBackoff: the task failed or was refused a short time ago.
+	WaitBackoff WaitReason = "backoff"
+	// WaitLateStart: an unanswered start of the task may still be carried out.
+	WaitLateStart WaitReason = "lateStart"
+	// WaitIntent: the start has to be saved first.
+	WaitIntent WaitReason = "intent"
+	// WaitTickets: the advice service has not named the workers.
+	WaitTickets WaitReason = "tickets"
+	// WaitOwnWorker: the task may have ended workers and needs one of its own.
+	WaitOwnWorker WaitReason = "ownWorker"
+	// WaitGang: there is no room for all members of the gang.
+	WaitGang WaitReason = "gang"
+	// WaitPaused: the queue is paused.
+	WaitPaused WaitReason = "paused"
+	// WaitNotTried: no round of placement has tried the job.
+	WaitNotTried WaitReason = "notTried"
+)
+
+// WaitReasons lists all reasons.
+var WaitReasons = []WaitReason{
+	WaitAtLimit, WaitNoAllowance, WaitUnresolved, WaitUnconfirmed, WaitNoWorker, WaitStartWindow, WaitNoRoom, WaitMachineLimit, WaitLossUnconfirmed,
+	WaitLossLimit, WaitBackoff, WaitLateStart, WaitIntent, WaitTickets, WaitOwnWorker, WaitGang, WaitPaused, WaitNotTried,
+}
+
+// Wait describes the jobs that wait for the same reason.
+type Wait struct {
+	Reason WaitReason
+	// Organisation is set if the reason is a limit of the organisation.
+	Organisation job.OrganisationID
+	// Longest is how long the first job has had nothing running. Count is the number of jobs, and Jobs names those that wait longest.
+	Longest time.Duration
+	Count   int
+	Jobs    []job.ID
+	// Limit holds what the cell knows of the limit, if the reason is one.
+	Limit LimitState
+	// Unresolved is the number of unresolved workers.
+	Unresolved int
+}
+
+// LimitState is what one cell knows of the limit of an organisation.
+type LimitState struct {
+	// Used counts against Limit, which is what the cell may run. Elsewhere is held by other cells, of which Competing need more.
+	Used, Limit, Elsewhere, Maximum job.Size
+	Competing                       int
+}
+
+// waitKey groups waiting jobs.
+type waitKey struct {
+	reason       WaitReason
+	organisation job.OrganisationID
+}
+
+// Waits returns the groups of waiting jobs found by the newest report, those that wait longest first.
+func (cr *Core) Waits() []Wait { return cr.waits }
+
+// reportWaits logs the jobs that have had nothing running for waitReportAfter although a task is ready.
+func (cr *Core) reportWaits(now time.Time) {
+	if now.Sub(cr.waitsReportedAt) < waitReportInterval {
+		return
+	}
+	cr.waitsReportedAt = now
+	cr.waits = cr.findWaits(now)
+	for _, wt := range cr.waits {
+		cr.opts.Log(Decision{What: "jobs wait", Task: job.Task{Job: wt.Jobs[0]}, Why: string(wt.Reason), Wait: &wt})
+	}
+}
+
+// findWaits returns the groups of waiting jobs, at most maxWaitReports.
+func (cr *Core) findWaits(now time.Time) []Wait {
+	type waiting struct {
+		js   *jobState
+		span time.Duration
+	}
+	groups := map[waitKey][]waiting{}
+	for _, js := range cr.openJobs {
+		since, idle := cr.idleSince(now, js)
+		if !idle || now.Sub(since) < waitReportAfter {
+			continue
+		}
+		key := waitKey{reason: cr.waitReason(js)}
+		if key.reason == WaitAtLimit || key.reason == WaitNoAllowance {
+			key.organisation = js.spec.Organisation
+		}
+		groups[key] = append(groups[key], waiting{js, now.Sub(since)})
+	}
+	var list []Wait
+	for key, members := range groups {
+		slices.SortFunc(members, func(one, other waiting) int {
+			return cmp.Or(cmp.Compare(other.span, one.span), cmp.Compare(one.js.spec.ID, other.js.spec.ID))
+		})
+		wt := Wait{Reason: key.reason, Organisation: key.organisation, Longest: members[0].span, Count: len(members), Unresolved: len(cr.unresolved)}
+		if key.organisation != "" {
+			wt.Limit = cr.ledger.limitState(key.organisation)
+		}
+		for _, mb := range members[:min(len(members), maxWaitJobs)] {
+			wt.Jobs = append(wt.Jobs, mb.js.spec.ID)
+		}
+		list = append(list, wt)
+	}
+	slices.SortFunc(list, func(one, other Wait) int {
+		return cmp.Or(cmp.Compare(other.Longest, one.Longest), cmp.Compare(one.Reason, other.Reason), cmp.Compare(one.Organisation, other.Organisation))
+	})
+	return list[:min(len(list), maxWaitReports)]
+}
+
+// idleSince returns since when a job has had a ready task and nothing running. It reports false if something runs or no task is ready.
+func (cr *Core) idleSince(now time.Time, js *jobState) (time.Time, bool) {
+	if js.ended() || js.hasPlacements() {
+		return time.Time{}, false
+	}
+	since := latest(js.loadedAt, js.idleAt)
+	if !js.spec.HasSchedule() {
+		return since, true
+	}
+	for at, rn := range js.runs {
+		if at < js.nextRun && !js.runsDone.Has(at) && rn.stepsLeft > 0 {
+			return latest(since, js.dueAt(at)), true
+		}
+	}
+	return time.Time{}, false
+}
+
+// waitReason returns why a job without running tasks waits.
+func (cr *Core) waitReason(js *jobState) WaitReason {
+	switch {
+	case cr.pausedQueues[js.spec.Queue]:
+		return WaitPaused
+	case cr.roundSkipped != "":
+		return cr.roundSkipped
+	case js.fullyPlaced:
+		return WaitNotTried
+	}
+	return cmp.Or(js.waitReason, WaitNotTried)
+}
+
+// limitWaitReason returns the reason why the limit of an organisation allows no start.
+func (cr *Core) limitWaitReason(id job.OrganisationID) WaitReason {
+	if _, written := cr.ledger.limit(id, cr.ledger.maxima[id]); !written {
+		return WaitNoAllowance
+	}
+	return WaitAtLimit
+}
+
+// limitState returns what the cell knows of the limit of an organisation.
+func (lg *Ledger) limitState(id job.OrganisationID) LimitState {
+	maximum, as := lg.maxima[id], lg.account(id)
+	limit, _ := lg.limit(id, maximum)
+	return LimitState{Used: lg.used(id), Limit: limit.NonNegative(), Elsewhere: as.heldByOthers(lg.cell), Maximum: maximum, Competing: as.competingCells(lg.cell)}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -271,7 +271,7 @@
 func (cr *Core) release(now time.Time, pl *placement, why string) {
 	pl.worker.removePlacement(pl)
 	pl.worker.busyAt = now
-	pl.step.job.fullyPlaced = false
+	pl.step.job.fullyPlaced, pl.step.job.idleAt = false, now
 	ts := &pl.step.tasks[pl.task.Index]
 	if ts.placement == pl {
 		ts.placement = nil
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -94,6 +94,7 @@
 	MovesDeferred        = Kind{849, "moves of machines deferred: the platform takes no more orders at present", zapcore.InfoLevel, "Nothing; they are planned again. The field `moves` is their number."}
 	AdmissionRefused     = Kind{850, "job refused, since it would end too late", zapcore.InfoLevel, "Nothing; the caller may return after `comeBack`. `wait` is the time until its tasks would start, `window` the time within which it has to end, `machines` the room that counts. Add machines if it goes on. If `evacuated` names a data hall, only its workers have a label that the job needs; the times are 0 then."}
 	AdmissionUnknown     = Kind{851, "owner of a cell does not say which jobs can be done", zapcore.WarnLevel, "Nothing if it is brief: jobs are accepted as if there was room, unless the queue is reported as full. Otherwise look at the owner and the network."}
+	JobsWait             = Kind{852, "accepted jobs have ready tasks and nothing running", zapcore.InfoLevel, "Nothing if brief. The field `why` is the reason, see docs/OPERATIONS.md; `longest` is the longest wait, `count` the number of jobs, and `jobs` names those that wait longest."}
 	PoolPlanned          = Kind{860, "pool planned", zapcore.InfoLevel, "Nothing; all numbers are machines. `needed` is the reported demand, `planned` the demand planned for, `target` the size that follows, with `ahead` for a turn that has not begun; `current` has those on their way, which are `arriving`. The last seven fields count the machines that stay, by the reason."}
 	ForecastBegun        = Kind{861, "forecast of the pools' demand begun by a new leader", zapcore.InfoLevel, "Nothing; the field `why` says why no learned turns were found, `turns` is how many were."}
 	TurnSeen             = Kind{862, "turn of a pool's demand began or ended", zapcore.InfoLevel, "Nothing; the fields describe the newest turn. `length` is 0 while it lasts, `rest` and `height` are numbers of machines."}
@@ -115,5 +116,5 @@
 	JobAccepted, JobRefused, JobCancelled, AdviceFailed, PeerSilent, CarryRejected,
 	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown, RelayLost, HallCutOff, HallReached,
 	StoreSlow, JobUnsure, WriteWaited, BytesMoved, PayloadMissing, WorkerLost, JobGivenUp, QueuePaused, QueueResumed, KeyRejected, KeyShared, AccountRejected, WorkerReborn, HallEvacuated, HallRestored, SaveImpossible, MovesDeferred,
-	AdmissionRefused, AdmissionUnknown, PoolPlanned, ForecastBegun, TurnSeen, DrainsDeferred,
+	AdmissionRefused, AdmissionUnknown, JobsWait, PoolPlanned, ForecastBegun, TurnSeen, DrainsDeferred,
 }
--- a/event/timeline.go
+++ b/event/timeline.go
@@ -17,7 +17,7 @@
 const timelineTimeFormat = "15:04:05.000"
 
 // timelineHiddenFields are the fields that have their own column or the same value in every line of a timeline.
-var timelineHiddenFields = []string{"ts", "level", "msg", "process", "event", "what", "job", "cell", "epoch", "token"}
+var timelineHiddenFields = []string{"ts", "level", "msg", "process", "event", "what", "job", "jobs", "cell", "epoch", "token"}
 
 // JobTimeline collects from logs the events of one job and of the workers that ran its tasks.
 type JobTimeline struct {
@@ -38,8 +38,10 @@
 	What    string    `json:"what"`
 	Job     string    `json:"job"`
 	Worker  string    `json:"worker"`
-	Lines   int       `json:"lines"`
-	raw     []byte
+	// Jobs are the jobs that a line about several jobs names.
+	Jobs  []string `json:"jobs"`
+	Lines int      `json:"lines"`
+	raw   []byte
 }
 
 // NewJobTimeline returns an empty timeline of a job.
@@ -65,7 +67,7 @@
 	switch {
 	case ln.Event == LinesDropped.ID:
 		jt.dropped += ln.Lines
-	case ln.Job == jt.job:
+	case ln.Job == jt.job, slices.Contains(ln.Jobs, jt.job):
 		jt.lines = append(jt.lines, ln)
 	case ln.Job == "" && ln.Worker != "":
 		jt.workers[ln.Worker] = append(jt.workers[ln.Worker], ln)
--- a/event/timeline_test.go
+++ b/event/timeline_test.go
@@ -55,3 +55,21 @@
 		}
 	}
 }
+
+// TestJobTimelineFindsJobInLineAboutSeveral reads a line that names the job in a list. The line belongs to the timeline, without the list.
+func TestJobTimelineFindsJobInLineAboutSeveral(t *testing.T) {
+	const line = `{"level":"info","ts":"2026-07-20T08:15:46.752Z","msg":"jobs wait","process":"edge-1","what":"jobs wait","job":"a1","why":"noRoom","jobs":["a1","b2"],"event":852}`
+	for id, want := range map[string]bool{"a1": true, "b2": true, "c3": false} {
+		jt := event.NewJobTimeline(id)
+		if err := jt.Read(bytes.NewBufferString(line + "\n")); err != nil {
+			t.Fatal(err)
+		}
+		var got bytes.Buffer
+		if err := jt.Report(&got); err != nil {
+			t.Fatal(err)
+		}
+		if found := bytes.Contains(got.Bytes(), []byte("jobs wait  why=noRoom\n")); found != want {
+			t.Errorf("%s: found %t, want %t: %s", id, found, want, got.Bytes())
+		}
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -186,6 +186,7 @@
 	fl.controller = newMachineController(fl)
 	fl.partition = &partitionDetector{fl: fl}
 	fl.relay = newRelay(fl)
+	fl.registerWaitGauges(options.Registry)
 	return fl
 }
 
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -122,9 +122,48 @@
 		fl.opts.Log.Emit(event.JobGivenUp, append(fields, zap.Int("strong", dc.Verdict.Strong), zap.Int("weak", dc.Verdict.Weak), zap.Any("lost", dc.Verdict.History))...)
 		return
 	}
+	if dc.Wait != nil {
+		fl.opts.Log.Emit(event.JobsWait, append(fields, waitFields(dc.Wait)...)...)
+		return
+	}
 	fl.opts.Log.Emit(event.CellDecided, fields...)
 }
 
+// waitFields returns the log fields of a group of waiting jobs. Sizes of limits are in thousandths of a core and megabytes.
+func waitFields(wt *cell.Wait) []zap.Field {
+	fields := []zap.Field{zap.Duration("longest", wt.Longest), zap.Int("count", wt.Count), zap.Any("jobs", wt.Jobs)}
+	if wt.Unresolved > 0 {
+		fields = append(fields, zap.Int("unresolved", wt.Unresolved))
+	}
+	if wt.Organisation == "" {
+		return fields
+	}
+	return append(fields, zap.String("organisation", string(wt.Organisation)), zap.Any("used", wt.Limit.Used), zap.Any("limit", wt.Limit.Limit),
+		zap.Any("elsewhere", wt.Limit.Elsewhere), zap.Any("maximum", wt.Limit.Maximum), zap.Int("competing", wt.Limit.Competing))
+}
+
+// registerWaitGauges registers, for each reason, the longest wait of a job in the cells that this instance owns, in milliseconds.
+func (fl *Fleet) registerWaitGauges(rg metrics.Registry) {
+	for _, reason := range cell.WaitReasons {
+		metrics.NewRegisteredFunctionalGauge("jobs.longestWaitMillis."+string(reason), rg, func() int64 { return fl.longestWait(reason).Milliseconds() })
+	}
+}
+
+// longestWait returns the longest wait for a reason in the cells that this instance owns.
+func (fl *Fleet) longestWait(reason cell.WaitReason) time.Duration {
+	longest := time.Duration(0)
+	for _, ow := range fl.allOwners() {
+		ow.mu.Lock()
+		for _, wt := range ow.core.Waits() {
+			if wt.Reason == reason {
+				longest = max(longest, wt.Longest)
+			}
+		}
+		ow.mu.Unlock()
+	}
+	return longest
+}
+
 // logJob logs an event of a job.
 func (fl *Fleet) logJob(kd event.Kind, id job.ID, fields ...zap.Field) {
 	fl.opts.Log.Emit(kd, append(fields, zap.String("job", string(id)))...)
