--- a/cell/testbed_test.go
+++ b/cell/testbed_test.go
@@ -12,6 +12,8 @@
 	t    *testing.T
 	now  time.Time
 	core *Core
+	// pool is the pool of the cell.
+	pool job.PoolID
 	// endCounts is the number of ends that each worker has reported.
 	endCounts map[WorkerID]int64
 	// pendingPolls holds the polls without an answer.
@@ -28,10 +30,16 @@
 // newTestBed returns a test bed with a number of workers that have answered their first poll.
 func newTestBed(t *testing.T, workers int) *testBed {
 	t.Helper()
-	bd := &testBed{t: t, now: time.Unix(1_700_000_000, 0), endCounts: map[WorkerID]int64{}, pendingPolls: map[WorkerID]Poll{}}
-	bd.core = New(testPool, testEpoch, Options{MaxStopTime: 400 * time.Millisecond, LeaseDuration: 5 * time.Second})
+	return newTestBedOf(t, testPool, workers)
+}
+
+// newTestBedOf returns a test bed of a pool with a number of workers that have answered their first poll.
+func newTestBedOf(t *testing.T, pool job.PoolID, workers int) *testBed {
+	t.Helper()
+	bd := &testBed{t: t, now: time.Unix(1_700_000_000, 0), pool: pool, endCounts: map[WorkerID]int64{}, pendingPolls: map[WorkerID]Poll{}}
+	bd.core = New(pool, testEpoch, Options{MaxStopTime: 400 * time.Millisecond, LeaseDuration: 5 * time.Second})
 	bd.core.TakeOver(bd.now, bd.now, nil, true)
-	bd.core.Configure([]job.Queue{{ID: "q", Pool: testPool, MaxAttempts: 2, Stretch: 1.5, Slack: time.Second}})
+	bd.core.Configure([]job.Queue{{ID: "q", Pool: pool, MaxAttempts: 2, Stretch: 1.5, Slack: time.Second}})
 	for i := range workers {
 		bd.register(testWorkerID(i))
 	}
@@ -43,7 +51,7 @@
 
 // register registers a worker and records it as in use.
 func (bd *testBed) register(id WorkerID) {
-	bd.core.Register(bd.now, Worker{ID: id, Pool: testPool, Address: string(id), Rack: "r" + string(id), Labels: []string{"a", "r" + string(id)}, Room: job.Size{CPUMillis: 4000, MemoryMB: 4000}})
+	bd.core.Register(bd.now, Worker{ID: id, Pool: bd.pool, Address: string(id), Rack: "r" + string(id), Labels: []string{"a", "r" + string(id)}, Room: job.Size{CPUMillis: 4000, MemoryMB: 4000}})
 	bd.core.WorkersRecorded([]WorkerRef{{ID: id, Address: string(id)}})
 }
 
@@ -96,7 +104,7 @@
 
 // addJob adds a job that was accepted under an epoch.
 func (bd *testBed) addJob(id job.ID, epoch job.Epoch, steps ...job.Step) {
-	bd.core.Add(bd.now, StoredJob{Spec: &job.Spec{ID: id, Queue: "q", Pool: testPool, Steps: steps, Epoch: epoch, AcceptedAt: bd.now}})
+	bd.core.Add(bd.now, StoredJob{Spec: &job.Spec{ID: id, Queue: "q", Pool: bd.pool, Steps: steps, Epoch: epoch, AcceptedAt: bd.now}})
 }
 
 // startsIn returns the starts among orders.
