Cells ask for the allowance that they could use: pools without room held an organisation's maximum

Cause: a cell asked by the jobs that wait. One with a backlog and no room needed more for as long as the backlog lasted, held what it could not use, and bound the cell with room to an even part.

Change: a round notes why a job waits; a limit counts as the reason only if a worker could run the task otherwise. What is blocked, and what exceeds the free room at the start of the round, gets at most the base for room that becomes free, and nothing that a competing cell could use; it does not make a cell compete.

Why it holds: bases are at most half of the maximum, a competing cell gets them too, and a cell competes only while it was refused a start for the limit alone.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -16,7 +16,7 @@
 		return
 	}
 	if !cr.mayStart(st, len(waiting)) {
-		st.job.waitReason = cr.limitWaitReason(st.job.spec.Organisation)
+		st.job.waitReason = cr.limitWaitReason(rd, st, waiting[0])
 		return
 	}
 	for _, at := range waiting {
--- a/cell/ledger.go
+++ b/cell/ledger.go
@@ -29,7 +29,7 @@
 	// Epoch is the epoch of the owner that wrote the allowance. An owner uses only an allowance that it wrote under its own epoch.
 	Epoch job.Epoch `json:"epoch"`
 	Held  job.Size  `json:"held"`
-	// NeedsMore means that the cell has more demand than was available. The other cells return what they do not need and keep an even share.
+	// NeedsMore means that the cell could start more than was available. The other cells return what they do not need and keep an even share.
 	NeedsMore bool `json:"wanted,omitempty"`
 }
 
@@ -44,12 +44,17 @@
 	Version      int64
 }
 
-// Demand is the size of an organisation's tasks in a cell that could start now if there were room.
+// Demand is the size of an organisation's tasks in a cell whose turn has come.
 type Demand struct {
-	// Waiting is the total size. Unit is the size of the smallest task or gang that can start on its own.
-	Waiting, Unit job.Size
+	// Waiting is the total size. Blocked is the part of it that the cell could not start whatever the allowance, mostly for want of room.
+	Waiting, Blocked job.Size
+	// Unit is the size of the smallest task or gang that the cell could start on its own.
+	Unit job.Size
 }
 
+// startable returns the size that the cell would start if its allowance permitted it.
+func (dm Demand) startable() job.Size { return dm.Waiting.Sub(dm.Blocked).NonNegative() }
+
 // Ledger enforces the maxima of organisations across all cells on behalf of the owner of one cell. It does no I/O and reads no clock: it is given
 // rows and times, and returns the rows to write.
 //
@@ -296,8 +301,11 @@
 func (lg *Ledger) nextAllowance(now time.Time, as *accountState, dm Demand) (next Allowance, due bool) {
 	maximum := lg.maxima[as.Organisation]
 	own, used := as.Account[lg.cell], lg.used(as.Organisation)
-	need := used.Add(clampToMaximum(dm.Waiting, maximum))
-	target := need.Add(need.Div(allowanceHeadroomDivisor)).Max(maximum.Div(allowanceBaseDivisor * lg.cellCount)).Min(maximum)
+	base := maximum.Div(allowanceBaseDivisor * lg.cellCount)
+	// Blocked tasks get no more than the base, for the room that becomes free, and nothing that a competing cell could use.
+	startable := used.Add(clampToMaximum(dm.startable(), maximum))
+	need := startable.Max(used.Add(dm.Waiting.Min(base)))
+	target := need.Add(need.Div(allowanceHeadroomDivisor)).Max(base).Min(maximum)
 	available := maximum.Sub(as.heldByOthers(lg.cell)).NonNegative()
 	next = Allowance{Epoch: lg.epoch, Held: own.Held}
 	competing := as.competingCells(lg.cell)
@@ -306,7 +314,7 @@
 		next.Held = own.Held.Max(used).Max(target.Min(available))
 	case competing > 0 || !within(own.Held, available, maximum):
 		// Surplus goes to the cells that need it. If several cells need more, each keeps at most an even share. Running tasks are not stopped.
-		share := used.Max(target.Min(available).Min(need.Min(maximum.Div(competing + 1))))
+		share := used.Max(target.Min(available).Min(startable.Min(maximum.Div(competing + 1))))
 		if unit := used.Add(clampToMaximum(dm.Unit, maximum)); !within(unit, share, maximum) {
 			// No cell could use an even share that is too small for another task, so it is returned. A cell without running tasks may keep one task.
 			share = used
@@ -314,7 +322,7 @@
 				share = unit
 			}
 		}
-		if !within(own.Held, share.Add(maximum.Div(allowanceReturnDivisor)), maximum) || !within(need, own.Held, maximum) {
+		if !within(own.Held, share.Add(maximum.Div(allowanceReturnDivisor)), maximum) || !within(startable, own.Held, maximum) {
 			next.Held = share
 		}
 	case !within(need, own.Held, maximum):
@@ -322,7 +330,7 @@
 	case lg.hasIdleSurplus(now, as, target):
 		next.Held = used.Max(target)
 	}
-	next.NeedsMore = !within(need, next.Held, maximum)
+	next.NeedsMore = !within(startable, next.Held, maximum)
 	return next, next != own || as.unconfirmed != nil
 }
 
--- a/cell/ledger_test.go
+++ b/cell/ledger_test.go
@@ -237,3 +237,15 @@
 		t.Error("a maximum for memory only must limit memory only")
 	}
 }
+
+// TestCellWithoutRoomHoldsLittle checks that a cell whose waiting tasks have no room holds a small part of the maximum, even while no other cell needs
+// any. Its successor would count everything that it holds as used.
+func TestCellWithoutRoomHoldsLittle(t *testing.T) {
+	lb := newLedgerTestBed(t, 5, cores(100))
+	lb.cells[0].addRunning("mill", cores(1), 5)
+	lb.runRounds(40, map[int]Demand{0: {Waiting: cores(500), Blocked: cores(500)}})
+	// What runs and the base, with headroom.
+	if held := lb.rows["mill"].Account["0"].Held.CPUMillis; held < 5_000 || held > (5_000+10_000)*5/4 {
+		t.Errorf("the cell holds %d thousandths of a core", held)
+	}
+}
--- a/cell/organisation.go
+++ b/cell/organisation.go
@@ -60,7 +60,7 @@
 	return true
 }
 
-// demandByOrganisation returns the demand of each organisation: its tasks that could start now if there were room.
+// demandByOrganisation returns the demand of each organisation. What its jobs could start is limited by the room that the newest round found.
 func (cr *Core) demandByOrganisation() map[job.OrganisationID]Demand {
 	demand := map[job.OrganisationID]Demand{}
 	for _, js := range cr.openJobs {
@@ -68,6 +68,10 @@
 			demand[id] = js.addDemand(demand[id])
 		}
 	}
+	for id, dm := range demand {
+		dm.Blocked = dm.Blocked.Max(dm.Waiting.Sub(cr.roundRoom))
+		demand[id] = dm
+	}
 	return demand
 }
 
@@ -98,6 +102,11 @@
 		return dm
 	}
 	all := st.spec.Size.Mul(count)
+	dm.Waiting = dm.Waiting.Add(all)
+	if st.job.waitReason.blocks() {
+		dm.Blocked = dm.Blocked.Add(all)
+		return dm
+	}
 	unit := st.spec.Size
 	if st.spec.Gang {
 		unit = all
@@ -105,7 +114,6 @@
 	if dm.Unit == (job.Size{}) || unit.CPUMillis < dm.Unit.CPUMillis {
 		dm.Unit = unit
 	}
-	dm.Waiting = dm.Waiting.Add(all)
 	return dm
 }
 
--- a/cell/place.go
+++ b/cell/place.go
@@ -117,6 +117,8 @@
 	usable []*candidate
 	// noRoomFor holds task sizes for which no worker has enough free room, regardless of other constraints.
 	noRoomFor []job.Size
+	// limitNoRoomFor holds the same for tasks that their organisation's limit would not allow anyway. They do not wait for room.
+	limitNoRoomFor []job.Size
 	// lowestPriority is the lowest priority among the running tasks, valid if lowestKnown is set. preemptingSteps counts the steps for which
 	// preemption was tried.
 	lowestPriority  int
@@ -149,6 +151,7 @@
 	}
 	cr.findRecentStarts(rd)
 	cr.reserveIntents(rd)
+	cr.roundRoom = job.Size(rd.free)
 	return rd
 }
 
@@ -281,7 +284,7 @@
 		return !waits
 	}
 	if !cr.mayStart(st, 1) {
-		return js.waitFor(cr.limitWaitReason(js.spec.Organisation))
+		return js.waitFor(cr.limitWaitReason(rd, st, slices.Concat(waiting, suspects)[0]))
 	}
 	if st.waitingSince.IsZero() {
 		st.waitingSince = now
@@ -318,7 +321,7 @@
 		case cr.deferred(rd, st, at):
 			return js.waitFor(WaitMachineLimit)
 		case !cr.mayStart(st, 1):
-			return js.waitFor(cr.limitWaitReason(js.spec.Organisation))
+			return js.waitFor(cr.limitWaitReason(rd, st, at))
 		}
 		if unplaced > 0 && st.tasks[at].intent == nil {
 			// All tasks of a step have the same size.
@@ -381,6 +384,11 @@
 
 // feasibleInTurn reports whether a task of the step may be started on a worker once it has its turn there.
 func (cr *Core) feasibleInTurn(now time.Time, st *step, cd *candidate) bool {
+	return cr.suits(now, st, cd) && (cr.queues[st.job.spec.Queue].Advice == nil || st.tickets[cd.info.ID] != "")
+}
+
+// suits reports whether a worker has room for a task of the step and may run it, if the advice service permits it.
+func (cr *Core) suits(now time.Time, st *step, cd *candidate) bool {
 	sp := st.spec
 	if !sp.ResourceRequest().Fits(cd.free) || cd.quarantinedFor != nil && cd.quarantinedFor != st.job || !cr.crashLoopAllows(now, st, cd) {
 		return false
@@ -388,13 +396,7 @@
 	if sp.Label != "" && !hasLabel(cd.info.Labels, sp.Label) {
 		return false
 	}
-	if sp.SpreadLimit > 0 && st.tasksOn(cd.worker) >= sp.SpreadLimit {
-		return false
-	}
-	if cr.queues[st.job.spec.Queue].Advice != nil && st.tickets[cd.info.ID] == "" {
-		return false
-	}
-	return true
+	return sp.SpreadLimit == 0 || st.tasksOn(cd.worker) < sp.SpreadLimit
 }
 
 // tasksOn counts the tasks of the step on a worker.
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -182,14 +182,48 @@
 	return cmp.Or(js.waitReason, WaitNotTried)
 }
 
-// limitWaitReason returns the reason why the limit of an organisation allows no start.
-func (cr *Core) limitWaitReason(id job.OrganisationID) WaitReason {
-	if _, written := cr.ledger.limit(id, cr.ledger.maxima[id]); !written {
+// blocks reports whether the task would wait even if the limit of its organisation were higher.
+func (wr WaitReason) blocks() bool {
+	switch wr {
+	case "", WaitAtLimit, WaitNoAllowance, WaitStartWindow, WaitIntent, WaitNotTried:
+		return false
+	}
+	return true
+}
+
+// limitWaitReason returns why a step waits whose organisation's limit allows no start. It is the limit only if the step could be started otherwise.
+func (cr *Core) limitWaitReason(rd *round, st *step, at int) WaitReason {
+	switch _, written := cr.ledger.limit(st.job.spec.Organisation, cr.ledger.maxima[st.job.spec.Organisation]); {
+	case !rd.hasRoomBeyondLimit(cr, st):
+		return WaitNoRoom
+	case cr.deferred(rd, st, at):
+		return WaitMachineLimit
+	case !written:
 		return WaitNoAllowance
 	}
 	return WaitAtLimit
 }
 
+// hasRoomBeyondLimit reports whether some worker could run a task of a step whose organisation's limit allows no start. Tickets are requested only
+// once the limit allows a start, so they are not needed.
+func (rd *round) hasRoomBeyondLimit(cr *Core, st *step) bool {
+	room := st.spec.ResourceRequest()
+	if rd.cannotFit(room) || slices.ContainsFunc(rd.limitNoRoomFor, func(sz job.Size) bool { return sz.Fits(room) }) {
+		return false
+	}
+	fits := false
+	for _, cd := range rd.usable {
+		if cr.suits(rd.now, st, cd) {
+			return true
+		}
+		fits = fits || room.Fits(cd.free)
+	}
+	if !fits {
+		rd.limitNoRoomFor = append(rd.limitNoRoomFor, room)
+	}
+	return false
+}
+
 // limitState returns what the cell knows of the limit of an organisation.
 func (lg *Ledger) limitState(id job.OrganisationID) LimitState {
 	maximum, as := lg.maxima[id], lg.account(id)
--- a/cell/wait_test.go
+++ b/cell/wait_test.go
@@ -48,6 +48,7 @@
 		WaitAtLimit: func(bd *testBed) {
 			bd.limitMill(job.Size{CPUMillis: 1000})
 			ofMill(bd, "first")
+			bd.plan()
 			bd.writeAccounts()
 			for _, st := range bd.wantStarts(bd.plan(), 1) {
 				bd.answerOrder(st, Done)
