A successor counts the tasks that it found as a part of the inherited allowance

Cause: until all workers are resolved a successor counts the whole allowance of its predecessor as used. It counted the predecessor's tasks that it had already found beside that, so twice.

Evidence: TestSuccessorDoesNotCountFoundTasksTwice failed before: with 14 quarter cores found of a maximum of 8 cores it started none for 3 s.

Change: found tasks are counted by themselves, and only the rest of the inherited allowance counts as what may run unseen. A task of which this owner has ordered a start counts as its own.

Why it holds: a predecessor never has more running than its allowance, and what is found and still runs is a part of that. When a found task ends the inherited allowance counts whole again, since the predecessor may not know of the end.

--- a/cell/ledger.go
+++ b/cell/ledger.go
@@ -62,7 +62,7 @@
 // Every write is conditional on the version of the row, so the sum of all allowances stays within the maximum known to the writer. This needs no
 // coordinator, lease or clock: an owner that is cut off from the store continues within its allowance, which no other cell uses. The successor of
 // an owner takes the allowance over by writing its own epoch, which makes further writes of its predecessor fail. It counts the inherited
-// allowance as fully used until it knows everything that the predecessor started.
+// allowance as fully used, by the tasks that it found or others, until it knows everything that the predecessor started.
 type Ledger struct {
 	cell  string
 	epoch job.Epoch
@@ -72,6 +72,8 @@
 	accounts  map[job.OrganisationID]*accountState
 	// running is the size of the tasks that run or may run, by organisation.
 	running map[job.OrganisationID]job.Size
+	// found is the part of running that earlier owners started.
+	found map[job.OrganisationID]job.Size
 	// reconciled means that running includes all running tasks that earlier owners started.
 	reconciled bool
 	// superseded means that a row has an allowance of a later owner of the cell.
@@ -93,7 +95,7 @@
 func NewLedger(cell string, epoch job.Epoch) *Ledger {
 	return &Ledger{
 		cell: cell, epoch: epoch, cellCount: 1,
-		maxima: map[job.OrganisationID]job.Size{}, accounts: map[job.OrganisationID]*accountState{}, running: map[job.OrganisationID]job.Size{},
+		maxima: map[job.OrganisationID]job.Size{}, accounts: map[job.OrganisationID]*accountState{}, running: map[job.OrganisationID]job.Size{}, found: map[job.OrganisationID]job.Size{},
 	}
 }
 
@@ -124,15 +126,26 @@
 
 // addRunning adds a number of tasks of one size to the running total of an organisation; the number is negative for tasks that ended.
 func (lg *Ledger) addRunning(id job.OrganisationID, sz job.Size, tasks int) {
+	addTo(lg.running, id, sz.Mul(tasks))
+}
+
+// addFound adds a number of tasks that earlier owners started to the running total of an organisation.
+func (lg *Ledger) addFound(id job.OrganisationID, sz job.Size, tasks int) {
+	addTo(lg.running, id, sz.Mul(tasks))
+	addTo(lg.found, id, sz.Mul(tasks))
+}
+
+// addTo adds a size to the total of an organisation. Totals of nothing and tasks without an organisation are not kept.
+func addTo(totals map[job.OrganisationID]job.Size, id job.OrganisationID, sz job.Size) {
 	if id == "" {
 		return
 	}
-	running := lg.running[id].Add(sz.Mul(tasks))
-	if running == (job.Size{}) {
-		delete(lg.running, id)
+	sum := totals[id].Add(sz)
+	if sum == (job.Size{}) {
+		delete(totals, id)
 		return
 	}
-	lg.running[id] = running
+	totals[id] = sum
 }
 
 // Update applies a row read from the store unless a newer version is known.
@@ -229,7 +242,8 @@
 	if lg.reconciled {
 		return lg.running[id]
 	}
-	return lg.running[id].Add(lg.account(id).inherited)
+	// The tasks found are part of the inherited allowance. The rest of it may run unseen.
+	return lg.running[id].Add(lg.account(id).inherited.Sub(lg.found[id]).NonNegative())
 }
 
 // Held returns the sum of all cells' allowances.
--- a/cell/ledger_model_test.go
+++ b/cell/ledger_model_test.go
@@ -54,6 +54,8 @@
 	// owner is the owner that counts the task, or nil if there is none.
 	owner  *ledgerOwner
 	endsAt time.Time
+	// foundBy is the newest owner that found the task running, or nil if only the one that started it counted it.
+	foundBy *ledgerOwner
 	// maximum is the maximum in force when the task was ordered. An order that is executed late cannot take a lower one into account.
 	maximum job.Size
 }
@@ -208,8 +210,8 @@
 	ow.fenced[worker] = true
 	for _, lt := range lw.running {
 		if lt.cell == ow.cell && lt.worker == worker && lw.fault != runningNotAdopted {
-			lt.owner = ow
-			ow.lg.addRunning(lt.org, lt.size, 1)
+			lt.owner, lt.foundBy = ow, ow
+			ow.lg.addFound(lt.org, lt.size, 1)
 		}
 	}
 	if len(ow.fenced) == ledgerWorkerCount {
@@ -398,7 +400,7 @@
 			return false
 		}
 		if ow := lt.owner; ow != nil && lw.fault != endsNeverCounted {
-			count := func() { ow.lg.addRunning(lt.org, lt.size, -1) }
+			count := func() { lt.uncount(ow) }
 			if lw.faultsOn() && lw.rnd.Intn(4) == 0 {
 				lw.delay(count)
 			} else {
@@ -409,6 +411,15 @@
 	})
 }
 
+// uncount makes an owner count the task as ended.
+func (lt *ledgerTask) uncount(ow *ledgerOwner) {
+	if lt.foundBy == ow {
+		ow.lg.addFound(lt.org, lt.size, -1)
+		return
+	}
+	ow.lg.addRunning(lt.org, lt.size, -1)
+}
+
 // dropOtherCells injects the fault othersIgnored: it removes the allowances of the other cells from an owner's ledger.
 func (lw *ledgerWorld) dropOtherCells(ow *ledgerOwner) {
 	if lw.fault != othersIgnored {
--- a/cell/place.go
+++ b/cell/place.go
@@ -471,7 +471,7 @@
 func (cr *Core) startTask(now time.Time, st *step, at int, cd *candidate, attempt job.Attempt) {
 	ts := &st.tasks[at]
 	wk := cd.worker
-	ts.attempt = attempt
+	ts.attempt, ts.ordered = attempt, true
 	tk := job.Task{Job: st.job.spec.ID, Run: st.run, Step: st.index, Index: at}
 	pl := &placement{task: tk, step: st, worker: wk, attempt: attempt, phase: starting, token: cr.token(wk), room: st.spec.ResourceRequest(), orderedAt: now, throttle: 100, suspect: ts.losses.suspected(), intentSaved: ts.intent != nil}
 	cr.removeIntent(ts)
--- a/cell/pollresult.go
+++ b/cell/pollresult.go
@@ -150,6 +150,8 @@
 	}
 	ts.attempt = max(ts.attempt, rn.Attempt)
 	pl := &placement{task: rn.Task, step: st, worker: wk, attempt: rn.Attempt, phase: running, token: cr.token(wk), room: st.spec.ResourceRequest(), orderedAt: now, ackedAt: now, throttle: 100, suspect: ts.losses.suspected()}
+	// Once this owner has ordered a start of the task, an attempt with an unknown origin may be its own.
+	pl.found = !ts.ordered
 	pl.intentSaved = slices.Contains(ts.losses.unresolved, wk.info.ID)
 	ts.losses.resolve(wk.info.ID)
 	if st.spec.BestEffort {
--- a/cell/task.go
+++ b/cell/task.go
@@ -94,6 +94,8 @@
 type taskState struct {
 	done    bool
 	attempt job.Attempt
+	// ordered means that this owner has ordered a start of the task.
+	ordered bool
 	// failed lists the failed attempts that count towards the limit, each with its worker.
 	failed     []string
 	checkpoint job.Checkpoint
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -66,6 +66,8 @@
 	intentSaved, startRecorded bool
 	// inRow means that the newest save ordered names the worker for the attempt.
 	inRow bool
+	// found means that an earlier owner started the attempt.
+	found bool
 	// suspect means that workers were lost under its task before. probationPassed means that this attempt has run for long enough without a loss.
 	suspect, probationPassed bool
 }
@@ -185,7 +187,7 @@
 	wk.placements[pl.task] = pl
 	wk.placed = append(wk.placed[:len(wk.placed):len(wk.placed)], pl)
 	wk.used = wk.used.Add(pl.room)
-	wk.ledger.addRunning(pl.step.job.spec.Organisation, pl.step.spec.Size, 1)
+	pl.countRunning(1)
 	wk.countTasks(pl.step.spec, 1)
 	if pl.suspect {
 		wk.suspects++
@@ -200,13 +202,23 @@
 	delete(wk.placements, pl.task)
 	wk.placed = slices.DeleteFunc(slices.Clone(wk.placed), func(other *placement) bool { return other == pl })
 	wk.used = wk.used.Sub(pl.room)
-	wk.ledger.addRunning(pl.step.job.spec.Organisation, pl.step.spec.Size, -1)
+	pl.countRunning(-1)
 	wk.countTasks(pl.step.spec, -1)
 	if pl.suspect {
 		wk.suspects--
 	}
 }
 
+// countRunning counts an attempt as running for its organisation, or with -1 as over.
+func (pl *placement) countRunning(by int) {
+	lg, id, sz := pl.worker.ledger, pl.step.job.spec.Organisation, pl.step.spec.Size
+	if pl.found {
+		lg.addFound(id, sz, by)
+		return
+	}
+	lg.addRunning(id, sz, by)
+}
+
 // countTasks updates the counts of the kinds of tasks.
 func (wk *worker) countTasks(st *job.Step, by int) {
 	if st.LatencyObjective > 0 {
