Reports of waiting jobs say what room the pool has

Cause: jobs wait 6 to 13 s for `machineLimit` in a play of turns with dark workers, and the line does not say whether their pool was half empty by then, which is what the users' rule asks.

Result: TestReportsOfWaitingJobsAreBounded checks them.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -158,8 +158,9 @@
 	demandAt time.Time
 	// admission is the account that new jobs are admitted by.
 	admission admissionAccount
-	// roundRoom is the free room of the usable workers at the start of the newest round of placement.
-	roundRoom job.Size
+	// roundUsable is the number of workers that accepted tasks in the newest round of placement, roundRoom their free room at its start.
+	roundUsable int
+	roundRoom   job.Size
 	// roundSkipped is why the newest plan had no round of placement, or empty. waits are the waiting jobs found at waitsReportedAt.
 	roundSkipped    WaitReason
 	waits           []Wait
--- a/cell/place.go
+++ b/cell/place.go
@@ -151,7 +151,7 @@
 	}
 	cr.findRecentStarts(rd)
 	cr.reserveIntents(rd)
-	cr.roundRoom = job.Size(rd.free)
+	cr.roundUsable, cr.roundRoom = len(rd.usable), job.Size(rd.free)
 	return rd
 }
 
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -84,6 +84,17 @@
 	Limit LimitState
 	// Unresolved is the number of unresolved workers.
 	Unresolved int
+	Pool       PoolState
+}
+
+// PoolState is what one cell knows of its workers.
+type PoolState struct {
+	// Workers is the number of registered workers that are not leaving, and Room their room. Used is the room that attempts take on them.
+	Workers    int
+	Room, Used job.Size
+	// Usable is the number of workers that accepted tasks in the newest round of placement, and Free their free room at its start.
+	Usable int
+	Free   job.Size
 }
 
 // LimitState is what one cell knows of the limit of an organisation.
@@ -132,12 +143,16 @@
 		}
 		groups[key] = append(groups[key], waiting{js, now.Sub(since)})
 	}
+	if len(groups) == 0 {
+		return nil
+	}
 	var list []Wait
+	pool := cr.poolState(now)
 	for key, members := range groups {
 		slices.SortFunc(members, func(one, other waiting) int {
 			return cmp.Or(cmp.Compare(other.span, one.span), cmp.Compare(one.js.spec.ID, other.js.spec.ID))
 		})
-		wt := Wait{Reason: key.reason, Organisation: key.organisation, Longest: members[0].span, Count: len(members), Unresolved: len(cr.unresolved)}
+		wt := Wait{Reason: key.reason, Organisation: key.organisation, Longest: members[0].span, Count: len(members), Unresolved: len(cr.unresolved), Pool: pool}
 		if key.organisation != "" {
 			wt.Limit = cr.ledger.limitState(key.organisation)
 		}
@@ -152,6 +167,18 @@
 	return list[:min(len(list), maxWaitReports)]
 }
 
+// poolState returns what the cell knows of its workers.
+func (cr *Core) poolState(now time.Time) PoolState {
+	ps := PoolState{Usable: cr.roundUsable, Free: cr.roundRoom}
+	for _, wk := range cr.sortedWorkers {
+		if wk.registered && !cr.leaving(now, wk) {
+			ps.Workers++
+			ps.Room, ps.Used = ps.Room.Add(wk.info.Room), ps.Used.Add(wk.used)
+		}
+	}
+	return ps
+}
+
 // idleSince returns since when a job has had a ready task and nothing running. It reports false if something runs or no task is ready.
 func (cr *Core) idleSince(now time.Time, js *jobState) (time.Time, bool) {
 	if js.ended() || js.hasPlacements() {
--- a/cell/wait_test.go
+++ b/cell/wait_test.go
@@ -117,6 +117,9 @@
 		t.Fatalf("%d reports in 4 s", len(*reports))
 	}
 	for _, wt := range *reports {
+		if wt.Pool.Workers != 1 || wt.Pool.Usable != 1 || wt.Pool.Used.CPUMillis != 4000 || wt.Pool.Room.CPUMillis != 4000 || wt.Pool.Free.CPUMillis != 0 {
+			t.Errorf("the pool is described as %+v", wt.Pool)
+		}
 		if wt.Count != 500 || len(wt.Jobs) != maxWaitJobs || slices.Contains(wt.Jobs, "full") {
 			t.Errorf("%d jobs, %v", wt.Count, wt.Jobs)
 		}
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -131,7 +131,8 @@
 
 // waitFields returns the log fields of a group of waiting jobs. Sizes of limits are in thousandths of a core and megabytes.
 func waitFields(wt *cell.Wait) []zap.Field {
-	fields := []zap.Field{zap.Duration("longest", wt.Longest), zap.Int("count", wt.Count), zap.Any("jobs", wt.Jobs)}
+	fields := []zap.Field{zap.Duration("longest", wt.Longest), zap.Int("count", wt.Count), zap.Any("jobs", wt.Jobs),
+		zap.Int("workers", wt.Pool.Workers), zap.Int("usable", wt.Pool.Usable), zap.Any("room", wt.Pool.Room), zap.Any("taken", wt.Pool.Used), zap.Any("free", wt.Pool.Free)}
 	if wt.Unresolved > 0 {
 		fields = append(fields, zap.Int("unresolved", wt.Unresolved))
 	}
