What may run unseen is bounded by the room that it could run in

Cause: a successor counts what its predecessor held, less what it found. An allowance is held with headroom, and tasks end between the takeover and the first answers, so that one silent worker kept the organisation as if it ran several times what fits there.

Evidence: TestSilentWorkerCountsNoMoreThanItsRoom fails without the change: beside a silent worker of four cores the organisation runs 1.5 of 14 cores, the six tasks that were found, for 3 s.

Change: the rest of the inherited allowance counts no more than the largest room of the pool's workers, for each that is unresolved or has attempts the owner does not know. Best-effort tasks reserve no CPU, so their organisations' CPU is not bounded.

Why it holds: owners record a worker before they start anything there, so what is not found runs on an unresolved worker or is an unknown attempt, and reserves room there.

--- a/cell/allowance_test.go
+++ b/cell/allowance_test.go
@@ -118,8 +118,9 @@
 	}
 }
 
-// replaceOwner gives a cell a new owner while its predecessor has not released it. The new owner has polled all workers but one, which is silent.
-func (ab *allowanceTestBed) replaceOwner(cell int, silent WorkerID) {
+// replaceOwner gives a cell a new owner while its predecessor has not released it. The new owner has polled all workers but one, which is silent. Of
+// the tasks on each of the others, at most left are still running.
+func (ab *allowanceTestBed) replaceOwner(cell int, silent WorkerID, left int) {
 	former := ab.cells[cell]
 	bd := newTestBedOf(ab.t, former.pool, 0)
 	bd.now = former.now
@@ -135,7 +136,8 @@
 	bd.core.UpdateAccount(ab.row)
 	for id, poll := range pollsByWorker(bd.plan()) {
 		if id != silent {
-			bd.answerPoll(poll, former.runningOn(id), nil)
+			running := former.runningOn(id)
+			bd.answerPoll(poll, running[:min(left, len(running))], nil)
 		}
 	}
 	delete(bd.pendingPolls, silent)
@@ -155,7 +157,7 @@
 				t.Fatalf("%d tasks run", ab.running)
 			}
 			inherited := ab.row.Account["pool0"].Held
-			ab.replaceOwner(0, "w3")
+			ab.replaceOwner(0, "w3", found)
 			ab.addTasks(0, "next", "mill", smallTask, 100)
 			ab.play(3 * time.Second)
 			if ab.cells[0].core.TakeoverComplete() {
@@ -170,3 +172,27 @@
 		})
 	}
 }
+
+// TestSilentWorkerCountsNoMoreThanItsRoom checks that the owner after another gets an organisation at least half of its maximum although one worker is
+// silent and the former owner held more than has room there, and that what has room there still counts.
+func TestSilentWorkerCountsNoMoreThanItsRoom(t *testing.T) {
+	const maxCores, left = 14, 2
+	ab := newAllowanceTestBed(t, 5, cores(maxCores))
+	// 12 cores on four workers.
+	ab.addTasks(0, "former", "mill", smallTask, 48)
+	ab.play(time.Second)
+	if ab.running != 48 {
+		t.Fatalf("%d tasks run", ab.running)
+	}
+	ab.replaceOwner(0, "w3", left)
+	ab.running = len(ab.cells[0].core.workers["w0"].placed) + len(ab.cells[0].core.workers["w1"].placed) + len(ab.cells[0].core.workers["w2"].placed)
+	found := ab.running
+	ab.addTasks(0, "next", "mill", smallTask, 100)
+	ab.play(3 * time.Second)
+	if 2*ab.running*smallTask.CPUMillis < 1000*maxCores {
+		t.Errorf("the organisation runs %d tasks of a quarter of a core with a maximum of %d cores; %+v", ab.running, maxCores, ab.row.Account)
+	}
+	if most := 1000*maxCores - 4000; ab.running*smallTask.CPUMillis > most {
+		t.Errorf("%d tasks run, %d of them found, beside a silent worker of four cores", ab.running, found)
+	}
+}
--- a/cell/ledger.go
+++ b/cell/ledger.go
@@ -74,6 +74,10 @@
 	running map[job.OrganisationID]job.Size
 	// found is the part of running that earlier owners started.
 	found map[job.OrganisationID]job.Size
+	// unseen bounds what earlier owners may have running unseen; nil if no bound is known. unreserved are the organisations whose tasks may use CPU that
+	// they have not reserved, so that only the other parts of the bound hold for them.
+	unseen     *job.Size
+	unreserved map[job.OrganisationID]bool
 	// reconciled means that running includes all running tasks that earlier owners started.
 	reconciled bool
 	// superseded means that a row has an allowance of a later owner of the cell.
@@ -124,6 +128,11 @@
 // MarkReconciled records that all running tasks which earlier owners of the cell started are counted.
 func (lg *Ledger) MarkReconciled() { lg.reconciled = true }
 
+// BoundUnseen sets the room in which tasks of earlier owners may run unseen. It limits them except for the CPU of the organisations in unreserved.
+func (lg *Ledger) BoundUnseen(room job.Size, unreserved map[job.OrganisationID]bool) {
+	lg.unseen, lg.unreserved = &room, unreserved
+}
+
 // addRunning adds a number of tasks of one size to the running total of an organisation; the number is negative for tasks that ended.
 func (lg *Ledger) addRunning(id job.OrganisationID, sz job.Size, tasks int) {
 	addTo(lg.running, id, sz.Mul(tasks))
@@ -243,7 +252,15 @@
 		return lg.running[id]
 	}
 	// The tasks found are part of the inherited allowance. The rest of it may run unseen.
-	return lg.running[id].Add(lg.account(id).inherited.Sub(lg.found[id]).NonNegative())
+	rest := lg.account(id).inherited.Sub(lg.found[id]).NonNegative()
+	if lg.unseen != nil {
+		bound := *lg.unseen
+		if lg.unreserved[id] {
+			bound.CPUMillis = rest.CPUMillis
+		}
+		rest = rest.Min(bound)
+	}
+	return lg.running[id].Add(rest)
 }
 
 // Held returns the sum of all cells' allowances.
--- a/cell/organisation.go
+++ b/cell/organisation.go
@@ -44,6 +44,7 @@
 	if cr.inheritedTasksCounted() {
 		cr.ledger.MarkReconciled()
 	}
+	cr.boundUnseen()
 	return cr.ledger.PendingWrites(now, cr.demandByOrganisation())
 }
 
@@ -60,6 +61,36 @@
 	return true
 }
 
+// boundUnseen tells the ledger how much room there is for tasks of earlier owners that this owner has not found: all of that of each worker which is
+// unresolved or has attempts that this owner does not know. Rooms shrink and grow, so the largest one counts for each.
+func (cr *Core) boundUnseen() {
+	if cr.ledger.reconciled || cr.plannedAt.IsZero() {
+		return
+	}
+	count, largest := len(cr.unresolved), job.Size{}
+	for _, wk := range cr.sortedWorkers {
+		if _, unresolved := cr.unresolved[wk.info.ID]; !unresolved && len(wk.foreign) > 0 {
+			count++
+		}
+		largest = largest.Max(wk.info.Room)
+	}
+	if largest == (job.Size{}) {
+		return
+	}
+	cr.ledger.BoundUnseen(largest.Mul(count), cr.inheritedBestEffort())
+}
+
+// inheritedBestEffort returns the organisations that have best-effort tasks in inherited jobs.
+func (cr *Core) inheritedBestEffort() map[job.OrganisationID]bool {
+	found := map[job.OrganisationID]bool{}
+	for _, js := range cr.jobs {
+		if js.inherited && slices.ContainsFunc(js.spec.Steps, func(st job.Step) bool { return st.BestEffort }) {
+			found[js.spec.Organisation] = true
+		}
+	}
+	return found
+}
+
 // demandByOrganisation returns the demand of each organisation. What its jobs could start is limited by the room that the newest round found.
 func (cr *Core) demandByOrganisation() map[job.OrganisationID]Demand {
 	demand := map[job.OrganisationID]Demand{}
