The model of a cell checks that no job stands with room free

The users' rule itself: nothing of a job runs although a task is ready, its room is there twice and less than half of the pool is in use, for 3 s while nothing has failed.

--- a/cell/ledger_model_test.go
+++ b/cell/ledger_model_test.go
@@ -567,6 +567,18 @@
 	}
 }
 
+// TestModelOfLedgersWhatIsLeft replays worlds in which a maximum was lowered, one owner grew its allowance under the former maximum, and another one
+// that had not read that row started tasks beside it.
+func TestModelOfLedgersWhatIsLeft(t *testing.T) {
+	for _, seed := range []int64{776, 980, 1151, 1390, 1803} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			if err := playLedgers(seed, noFault); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
 // TestModelOfLedgersFindsFaults checks that the model detects each deliberate fault within some worlds. The search starts near a seed that shows the
 // fault. Unanswered writes have a separate test.
 func TestModelOfLedgersFindsFaults(t *testing.T) {
--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -782,10 +782,26 @@
 		wk.info.Room.CPUMillis = modelRoom
 	}
 	md.claimCell()
-	until := md.now.Add(2 * time.Minute)
+	mw := &modelWaits{calmSince: md.now, since: map[job.ID]time.Time{}}
+	until, alive := md.now.Add(2*time.Minute), md.aliveCount()
 	for md.now.Before(until) && md.playEvent() {
+		if count := md.aliveCount(); count != alive {
+			alive, mw.calmSince = count, md.now
+		}
+		md.checkWaits(mw)
 	}
 	for _, id := range md.jobOrder {
 		md.checkFinished(id)
 	}
 }
+
+// aliveCount returns the number of workers that are running.
+func (md *model) aliveCount() int {
+	count := 0
+	for _, wk := range md.allWorkers() {
+		if wk.alive {
+			count++
+		}
+	}
+	return count
+}
