An owner tries again at once after a conflict of accounts

Cause: one conflict fails the write of all allowances of a new owner. It then paused for 50 ms, and its core learned of the rows that came with the conflict only at its next plan, so that they were out of date again.

Change: the rows of a conflict go to the core at once, and the write is tried again without a pause, unless the conflict brought nothing newer.

Why it holds: each such conflict means that another owner has written, and the rows are as fresh as a call allows.

--- a/cell/contention_test.go
+++ b/cell/contention_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"flag"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -10,14 +11,14 @@
 	"github.com/aspenseam/aspenseam/job"
 )
 
+var contentionWorlds = flag.Int64("contentionworlds", 20, "worlds that the tests of owners which write accounts at the same time play")
+
 // Parameters of the test of owners that write accounts at the same time.
 const (
 	contentionOrgs  = 20
 	contentionCells = 5
 	contentionTick  = 2 * time.Millisecond
-	// contentionWorlds is the number of worlds that a test plays.
-	contentionWorlds = 20
-	// contentionPause is the pause of an owner between two writes, contentionTurn how often the demand of an organisation changes.
+	// contentionPause is the pause of an owner after a write that did not conflict, contentionTurn how often the demand of an organisation changes.
 	contentionPause = 50 * time.Millisecond
 	contentionTurn  = time.Second
 )
@@ -105,6 +106,7 @@
 		ow.write, ow.nextAt = nil, now.Add(contentionPause)
 		for _, rw := range wr.conflicts {
 			ow.lg.Update(rw)
+			ow.nextAt = now
 		}
 		if wr.version != 0 {
 			ow.lg.Written(wr.rows, wr.version)
@@ -183,18 +185,15 @@
 // checkTakeovers fails unless a new owner has its allowances within the users' 3 s in each of some worlds.
 func checkTakeovers(t *testing.T, latency time.Duration) {
 	t.Helper()
-	longest, late := time.Duration(0), 0
-	for seed := range int64(contentionWorlds) {
-		took := playContention(seed+1, latency)
+	longest := time.Duration(0)
+	for seed := int64(1); seed <= *contentionWorlds; seed++ {
+		took := playContention(seed, latency)
 		longest = max(longest, took)
 		if took > ledgerMaxWait {
-			late++
+			t.Errorf("seed %d: the takeover took %v", seed, took)
 		}
 	}
-	t.Logf("the longest of %d takeovers took %v", contentionWorlds, longest)
-	if late > 0 {
-		t.Errorf("%d of %d took more than %v", late, contentionWorlds, ledgerMaxWait)
-	}
+	t.Logf("the longest of %d takeovers took %v", *contentionWorlds, longest)
 }
 
 // TestSuccessorGetsItsAllowancesBesideOwnersThatWrite checks that a new owner has its allowances in time although the other owners keep changing
@@ -207,3 +206,12 @@
 func TestSuccessorGetsItsAllowancesFromASlowStore(t *testing.T) {
 	checkTakeovers(t, 240*time.Millisecond)
 }
+
+// TestSuccessorGetsItsAllowancesFromASlowStoreWhatIsLeft replays worlds in which a new owner has its allowances late.
+func TestSuccessorGetsItsAllowancesFromASlowStoreWhatIsLeft(t *testing.T) {
+	for _, seed := range []int64{40, 42, 74, 91, 107, 111, 113} {
+		if took := playContention(seed, 240*time.Millisecond); took > ledgerMaxWait {
+			t.Errorf("seed %d: the takeover took %v", seed, took)
+		}
+	}
+}
--- a/fleet/accounts.go
+++ b/fleet/accounts.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/aspenseam/aspenseam/cell"
@@ -87,13 +88,41 @@
 			continue
 		}
 		sleep(ctx, accountInterval)
-		rows := ow.dueAccounts()
-		if len(rows) > 0 && !ow.writeAccounts(ctx, rows) {
+		if !ow.writeDueAccounts(ctx) {
 			sleep(ctx, writeRetryDelay)
 		}
 	}
 }
 
+// writeDueAccounts writes the accounts that are due. After a conflict that brought newer rows it tries again at once, since these would be out of
+// date after a pause. Each such conflict means that another owner has written, so the owners make progress together. It reports false if the
+// outcome of a write is not known.
+func (ow *owner) writeDueAccounts(ctx context.Context) bool {
+	var tried []cell.AccountRow
+	for ctx.Err() == nil && !ow.lost.Load() {
+		rows := ow.dueAccounts()
+		if len(rows) == 0 || sameVersions(rows, tried) {
+			return true
+		}
+		contended, known := ow.writeAccounts(ctx, rows)
+		if !known {
+			return false
+		}
+		if !contended {
+			return true
+		}
+		tried = rows
+	}
+	return true
+}
+
+// sameVersions reports whether two lists have the same accounts in the same versions.
+func sameVersions(one, other []cell.AccountRow) bool {
+	return slices.EqualFunc(one, other, func(ar, br cell.AccountRow) bool {
+		return ar.Organisation == br.Organisation && ar.Version == br.Version
+	})
+}
+
 // dueAccounts returns the accounts that have to be written now.
 func (ow *owner) dueAccounts() []cell.AccountRow {
 	ow.mu.Lock()
@@ -104,12 +133,13 @@
 	return ow.core.AccountWrites(ow.fl.opts.Now())
 }
 
-// writeAccounts writes accounts on the condition of their versions, and reports whether the outcome is known.
-func (ow *owner) writeAccounts(ctx context.Context, rows []cell.AccountRow) bool {
+// writeAccounts writes accounts on the condition of their versions. It reports whether the outcome is known, and whether the accounts were not
+// written since another owner had changed one of them. The core knows the current rows then.
+func (ow *owner) writeAccounts(ctx context.Context, rows []cell.AccountRow) (contended, known bool) {
 	tx, err := accountTx(rows)
 	if err != nil {
 		ow.fl.opts.Log.Emit(event.SaveFailed, zap.String("cell", ow.name), zap.Error(err))
-		return false
+		return false, false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, ow.fl.store.commitTimeout())
 	version, err := ow.fl.store.Commit(callCtx, tx)
@@ -123,13 +153,25 @@
 		ow.mu.Unlock()
 		// Tasks that waited for the larger part can start.
 		ow.wake()
-		return true
+		return false, true
 	case errors.As(err, &cf):
 		ow.fl.metrics.accountsContended.Inc(1)
+		ow.updateAccounts(cf.Rows)
 		ow.fl.applyAccountRows(cf.Rows, ow.fl.opts.Now())
-		return true
+		return true, true
+	}
+	return false, false
+}
+
+// updateAccounts passes accounts to the core at once, before its next plan.
+func (ow *owner) updateAccounts(rows []Row) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	for _, rw := range rows {
+		if ar, ok := ow.fl.parseAccount(rw); ok {
+			ow.core.UpdateAccount(ar)
+		}
 	}
-	return false
 }
 
 // accountTx returns a transaction that writes accounts, each on the condition of its version.
