Tasks that may get room from others count as demand of their organisation

What callers would have seen: an urgent job of an organisation waits in a full pool, since the cell holds less for the organisation than one of its tasks takes. Found by reading again, which brought it: what has no room is blocked, and a step makes room only once its limit allows a start.

Evidence: TestUrgentWorkOfAnOrganisationPreemptsInAFullPool passes before and starts none of four urgent tasks of 3 cores within 1.1 s after it, in a pool full of less urgent ones with a backlog.

Change: a step that may have others stopped, or for which a worker is kept free (long-running tasks), waits as makingRoom, which is not blocked, and is not bounded by the free room.

Result: the test passes; so do the ones of the allowances, the reports and the model of ledgers.

--- a/cell/allowance_test.go
+++ b/cell/allowance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,7 +48,8 @@
 	}
 }
 
-// play lets the owners plan, and read and write the account, for a time. All orders are carried out, and no task ends.
+// play lets the owners plan, and read and write the account, for a time. All orders are carried out, and tasks end
+// only when they are stopped.
 func (ab *allowanceTestBed) play(duration time.Duration) {
 	const step = 50 * time.Millisecond
 	for range duration / step {
@@ -55,14 +57,22 @@
 			bd.advance(step)
 			bd.core.UpdateAccount(ab.row)
 			ab.write(bd)
-			for _, st := range startsIn(bd.plan()) {
+			orders := bd.plan()
+			for _, od := range orders {
+				if st, ok := od.(Stop); ok {
+					bd.answerOrder(st, Done)
+					bd.unreadEnds[st.Worker] = append(bd.unreadEnds[st.Worker], bd.newEnd(Start{Worker: st.Worker, Task: st.Task, Attempt: st.Attempt}, EndStopped))
+				}
+			}
+			for _, st := range startsIn(orders) {
 				bd.answerOrder(st, Done)
 				if bd.core.jobs[st.Task.Job].spec.Organisation == "mill" {
 					ab.running++
 				}
 			}
 			for id, poll := range bd.pendingPolls {
-				bd.answerPoll(poll, bd.runningOn(id), nil)
+				bd.answerPoll(poll, bd.runningOn(id), bd.unreadEnds[id])
+				delete(bd.unreadEnds, id)
 			}
 		}
 	}
@@ -72,6 +82,9 @@
 func (bd *testBed) runningOn(id WorkerID) []Running {
 	var list []Running
 	for _, pl := range bd.core.workers[id].placed {
+		if slices.ContainsFunc(bd.unreadEnds[id], func(en End) bool { return en.Task == pl.task && en.Attempt == pl.attempt }) {
+			continue
+		}
 		list = append(list, Running{Task: pl.task, Attempt: pl.attempt})
 	}
 	return list
@@ -196,3 +209,37 @@
 		t.Errorf("%d tasks run, %d of them found, beside a silent worker of four cores", ab.running, found)
 	}
 }
+
+// TestUrgentWorkOfAnOrganisationPreemptsInAFullPool checks that urgent tasks of an organisation start in time in a pool that is full of less urgent
+// ones, although the cell holds little for the organisation.
+func TestUrgentWorkOfAnOrganisationPreemptsInAFullPool(t *testing.T) {
+	const tasks, startWithin = 4, 1100 * time.Millisecond
+	for _, running := range []int{0, 1} {
+		t.Run(fmt.Sprint(running, " tasks running"), func(t *testing.T) {
+			ab := newAllowanceTestBed(t, 5, cores(20))
+			bd := ab.cells[0]
+			bd.core.Configure([]job.Queue{
+				{ID: "q", Pool: bd.pool, MaxAttempts: 2, Stretch: 1.5, Slack: time.Second, Priority: 1},
+				{ID: "urgent", Pool: bd.pool, MaxAttempts: 2, Stretch: 1.5, Slack: time.Second},
+			})
+			ab.addTasks(0, "former", "mill", job.Size{CPUMillis: 2000, MemoryMB: 10}, running)
+			ab.play(time.Second)
+			ab.addTasks(0, "others", "", smallTask, 2*16*4)
+			ab.play(time.Second)
+			bd.core.Add(bd.now, StoredJob{Spec: &job.Spec{ID: "urgent", Queue: "urgent", Pool: bd.pool, Organisation: "mill", Steps: []job.Step{{Count: tasks, Size: job.Size{CPUMillis: 3000, MemoryMB: 10}}}, Epoch: testEpoch, AcceptedAt: bd.now}})
+			ab.play(startWithin)
+			if got := bd.core.jobs["urgent"].tasksPlaced(); got != tasks {
+				t.Errorf("%d of %d urgent tasks run after %v; %+v", got, tasks, startWithin, ab.row.Account)
+			}
+		})
+	}
+}
+
+// tasksPlaced counts the tasks of a job that are on workers.
+func (js *jobState) tasksPlaced() int {
+	count := 0
+	for _, wk := range js.core.sortedWorkers {
+		count += js.tasksOn(wk)
+	}
+	return count
+}
--- a/cell/ledger.go
+++ b/cell/ledger.go
@@ -48,6 +48,8 @@
 type Demand struct {
 	// Waiting is the total size. Blocked is the part of it that the cell could not start whatever the allowance, mostly for want of room.
 	Waiting, Blocked job.Size
+	// makingRoom is the part of Waiting that may get room from running tasks.
+	makingRoom job.Size
 	// Unit is the size of the smallest task or gang that the cell could start on its own.
 	Unit job.Size
 }
--- a/cell/organisation.go
+++ b/cell/organisation.go
@@ -91,7 +91,8 @@
 	return found
 }
 
-// demandByOrganisation returns the demand of each organisation. What its jobs could start is limited by the room that the newest round found.
+// demandByOrganisation returns the demand of each organisation. What its jobs could start is limited by the room that the newest round found,
+// except for tasks that may get room from others.
 func (cr *Core) demandByOrganisation() map[job.OrganisationID]Demand {
 	demand := map[job.OrganisationID]Demand{}
 	for _, js := range cr.openJobs {
@@ -100,7 +101,7 @@
 		}
 	}
 	for id, dm := range demand {
-		dm.Blocked = dm.Blocked.Max(dm.Waiting.Sub(cr.roundRoom))
+		dm.Blocked = dm.Blocked.Max(dm.Waiting.Sub(cr.roundRoom.Add(dm.makingRoom)))
 		demand[id] = dm
 	}
 	return demand
@@ -134,6 +135,9 @@
 	}
 	all := st.spec.Size.Mul(count)
 	dm.Waiting = dm.Waiting.Add(all)
+	if st.job.waitReason == WaitMakingRoom {
+		dm.makingRoom = dm.makingRoom.Add(all)
+	}
 	if st.job.waitReason.blocks() {
 		dm.Blocked = dm.Blocked.Add(all)
 		return dm
--- a/cell/place.go
+++ b/cell/place.go
@@ -179,7 +179,7 @@
 		cr.preempt(rd, st, len(waiting))
 		cr.reserve(rd, st, len(waiting))
 		cr.reserveForSuspects(rd, st, len(suspects))
-		return js.waitFor(WaitNoRoom)
+		return js.waitFor(cr.noRoomReason(rd, st))
 	}
 	if cr.queues[js.spec.Queue].Advice != nil && !cr.ensureTickets(now, st, rd.usable) {
 		return js.waitFor(WaitTickets)
@@ -235,7 +235,7 @@
 		cr.planAhead(rd, st, waiting)
 		cr.preempt(rd, st, unplaced)
 		cr.reserve(rd, st, unplaced)
-		return js.waitFor(WaitNoRoom)
+		return js.waitFor(cr.noRoomReason(rd, st))
 	}
 	st.waitingSince = time.Time{}
 	return !waits
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -33,11 +33,16 @@
 	return rd.lowestPriority
 }
 
+// mayPreempt reports whether tasks of lower priorities may be stopped to make room for a step.
+func (cr *Core) mayPreempt(rd *round, st *step) bool {
+	return cr.lowestPriority(rd) > cr.queues[st.job.spec.Queue].Priority && (st.spec.LongRunning || cr.laxity(rd.now, st.job) >= 0)
+}
+
 // preempt stops tasks of lower priorities to make room for waiting tasks of a step. Long-running tasks have disruption budgets and are not
 // stopped. Gang members are not stopped either, since the whole gang would have to restart.
 func (cr *Core) preempt(rd *round, st *step, waiting int) {
 	priority := cr.queues[st.job.spec.Queue].Priority
-	if rd.preemptingSteps == preemptMaxSteps || cr.lowestPriority(rd) <= priority || !st.spec.LongRunning && cr.laxity(rd.now, st.job) < 0 {
+	if rd.preemptingSteps == preemptMaxSteps || !cr.mayPreempt(rd, st) {
 		return
 	}
 	if rd.now.Sub(st.waitingSince) < preemptAfter {
--- a/cell/testbed_test.go
+++ b/cell/testbed_test.go
@@ -16,6 +16,8 @@
 	pool job.PoolID
 	// endCounts is the number of ends that each worker has reported.
 	endCounts map[WorkerID]int64
+	// unreadEnds holds the ends that no poll has reported yet.
+	unreadEnds map[WorkerID][]End
 	// pendingPolls holds the polls without an answer.
 	pendingPolls map[WorkerID]Poll
 	// autoSave confirms every save as soon as it is ordered.
@@ -36,7 +38,7 @@
 // newTestBedOf returns a test bed of a pool with a number of workers that have answered their first poll.
 func newTestBedOf(t *testing.T, pool job.PoolID, workers int) *testBed {
 	t.Helper()
-	bd := &testBed{t: t, now: time.Unix(1_700_000_000, 0), pool: pool, endCounts: map[WorkerID]int64{}, pendingPolls: map[WorkerID]Poll{}}
+	bd := &testBed{t: t, now: time.Unix(1_700_000_000, 0), pool: pool, endCounts: map[WorkerID]int64{}, unreadEnds: map[WorkerID][]End{}, pendingPolls: map[WorkerID]Poll{}}
 	bd.core = New(pool, testEpoch, Options{MaxStopTime: 400 * time.Millisecond, LeaseDuration: 5 * time.Second})
 	bd.core.TakeOver(bd.now, bd.now, nil, true)
 	bd.core.Configure([]job.Queue{{ID: "q", Pool: pool, MaxAttempts: 2, Stretch: 1.5, Slack: time.Second}})
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -41,6 +41,8 @@
 	WaitStartWindow WaitReason = "startWindow"
 	// WaitNoRoom: no worker on which the task may run has room.
 	WaitNoRoom WaitReason = "noRoom"
+	// WaitMakingRoom: no worker has room, and the task may get it from tasks of lower priorities or waits for a worker that is kept free for it.
+	WaitMakingRoom WaitReason = "makingRoom"
 	// WaitMachineLimit: the job is late, and machines are left to other pools.
 	WaitMachineLimit WaitReason = "machineLimit"
 	// WaitLossUnconfirmed: the ownership was not confirmed since the task was lost.
@@ -67,7 +69,7 @@
 
 // WaitReasons lists all reasons.
 var WaitReasons = []WaitReason{
-	WaitAtLimit, WaitNoAllowance, WaitUnresolved, WaitUnconfirmed, WaitNoWorker, WaitStartWindow, WaitNoRoom, WaitMachineLimit, WaitLossUnconfirmed,
+	WaitAtLimit, WaitNoAllowance, WaitUnresolved, WaitUnconfirmed, WaitNoWorker, WaitStartWindow, WaitNoRoom, WaitMakingRoom, WaitMachineLimit, WaitLossUnconfirmed,
 	WaitLossLimit, WaitBackoff, WaitLateStart, WaitIntent, WaitTickets, WaitOwnWorker, WaitGang, WaitPaused, WaitNotTried,
 }
 
@@ -212,7 +214,7 @@
 // blocks reports whether the task would wait even if the limit of its organisation were higher.
 func (wr WaitReason) blocks() bool {
 	switch wr {
-	case "", WaitAtLimit, WaitNoAllowance, WaitStartWindow, WaitIntent, WaitNotTried:
+	case "", WaitAtLimit, WaitNoAllowance, WaitStartWindow, WaitIntent, WaitMakingRoom, WaitNotTried:
 		return false
 	}
 	return true
@@ -222,7 +224,7 @@
 func (cr *Core) limitWaitReason(rd *round, st *step, at int) WaitReason {
 	switch _, written := cr.ledger.limit(st.job.spec.Organisation, cr.ledger.maxima[st.job.spec.Organisation]); {
 	case !rd.hasRoomBeyondLimit(cr, st):
-		return WaitNoRoom
+		return cr.noRoomReason(rd, st)
 	case cr.deferred(rd, st, at):
 		return WaitMachineLimit
 	case !written:
@@ -231,6 +233,19 @@
 	return WaitAtLimit
 }
 
+// noRoomReason returns why a step waits that no worker has room for.
+func (cr *Core) noRoomReason(rd *round, st *step) WaitReason {
+	if cr.mayMakeRoom(rd, st) {
+		return WaitMakingRoom
+	}
+	return WaitNoRoom
+}
+
+// mayMakeRoom reports whether a step may get room from running tasks. Only steps that their organisation's limit allows to start get it.
+func (cr *Core) mayMakeRoom(rd *round, st *step) bool {
+	return st.spec.LongRunning || cr.mayPreempt(rd, st)
+}
+
 // hasRoomBeyondLimit reports whether some worker could run a task of a step whose organisation's limit allows no start. Tickets are requested only
 // once the limit allows a start, so they are not needed.
 func (rd *round) hasRoomBeyondLimit(cr *Core, st *step) bool {
