Waits for a turn are told from want of room

Nothing can start there since each worker takes new starts of one job at a time while a queue crashes workers.

Change: such a wait is reported as `turn`. What is started, and what counts as demand, is as before.

--- a/cell/place.go
+++ b/cell/place.go
@@ -235,7 +235,7 @@
 		cr.planAhead(rd, st, waiting)
 		cr.preempt(rd, st, unplaced)
 		cr.reserve(rd, st, unplaced)
-		return js.waitFor(cr.noRoomReason(rd, st))
+		return js.waitFor(cr.unplacedReason(rd, st))
 	}
 	st.waitingSince = time.Time{}
 	return !waits
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -41,6 +41,8 @@
 	WaitStartWindow WaitReason = "startWindow"
 	// WaitNoRoom: no worker on which the task may run has room.
 	WaitNoRoom WaitReason = "noRoom"
+	// WaitTurn: workers have room, but their new starts are left to other jobs, since the queue of one of them crashes workers.
+	WaitTurn WaitReason = "turn"
 	// WaitMakingRoom: no worker has room, and the task may get it from tasks of lower priorities or waits for a worker that is kept free for it.
 	WaitMakingRoom WaitReason = "makingRoom"
 	// WaitMachineLimit: the job is late, and machines are left to other pools.
@@ -69,7 +71,7 @@
 
 // WaitReasons lists all reasons.
 var WaitReasons = []WaitReason{
-	WaitAtLimit, WaitNoAllowance, WaitUnresolved, WaitUnconfirmed, WaitNoWorker, WaitStartWindow, WaitNoRoom, WaitMakingRoom, WaitMachineLimit, WaitLossUnconfirmed,
+	WaitAtLimit, WaitNoAllowance, WaitUnresolved, WaitUnconfirmed, WaitNoWorker, WaitStartWindow, WaitNoRoom, WaitTurn, WaitMakingRoom, WaitMachineLimit, WaitLossUnconfirmed,
 	WaitLossLimit, WaitBackoff, WaitLateStart, WaitIntent, WaitTickets, WaitOwnWorker, WaitGang, WaitPaused, WaitNotTried,
 }
 
@@ -241,6 +243,20 @@
 	return WaitNoRoom
 }
 
+// unplacedReason returns why a step waits that no worker could take a task of.
+func (cr *Core) unplacedReason(rd *round, st *step) WaitReason {
+	if cr.mayMakeRoom(rd, st) {
+		return WaitMakingRoom
+	}
+	room := st.spec.ResourceRequest()
+	for _, cd := range rd.usable {
+		if room.Fits(cd.free) && (!cr.crashLoopAllows(rd.now, st, cd) || cr.turnTaken(rd.now, st, cd)) {
+			return WaitTurn
+		}
+	}
+	return WaitNoRoom
+}
+
 // mayMakeRoom reports whether a step may get room from running tasks. Only steps that their organisation's limit allows to start get it.
 func (cr *Core) mayMakeRoom(rd *round, st *step) bool {
 	return st.spec.LongRunning || cr.mayPreempt(rd, st)
--- a/cell/wait_test.go
+++ b/cell/wait_test.go
@@ -144,3 +144,22 @@
 		t.Errorf("%d reports, want %d", len(*reports), maxWaitReports)
 	}
 }
+
+// TestWaitForATurnIsToldFromWantOfRoom checks the reason of a job whose queue crashes workers, while a worker with room leaves its new starts to another
+// job, and while the worker is full.
+func TestWaitForATurnIsToldFromWantOfRoom(t *testing.T) {
+	bd, _ := waitTestBed(t, 1)
+	bd.core.crashLoops["q"] = bd.now.Add(time.Hour)
+	bd.addJob("first", testEpoch, taskStep(1))
+	bd.wantStarts(bd.plan(), 1)
+	bd.addJob("j", testEpoch, taskStep(1))
+	bd.wantStarts(bd.plan(), 0)
+	if got := bd.core.jobs["j"].waitReason; got != WaitTurn {
+		t.Errorf("the job waits for %s", got)
+	}
+	bd.core.workers["w0"].used = bd.core.workers["w0"].info.Room
+	bd.plan()
+	if got := bd.core.jobs["j"].waitReason; got != WaitNoRoom {
+		t.Errorf("with a full worker the job waits for %s", got)
+	}
+}
