--- a/cell/wait.go
+++ b/cell/wait.go
@@ -80,7 +80,7 @@
 	Reason WaitReason
 	// Organisation is set if the reason is a limit of the organisation.
 	Organisation job.OrganisationID
-	// Longest is how long the first job has had nothing running. Count is the number of jobs, and Jobs names those that wait longest.
+	// Longest is how long the first job has had nothing running since this owner has it. Count is the number of jobs, and Jobs names those that wait longest.
 	Longest time.Duration
 	Count   int
 	Jobs    []job.ID
@@ -114,6 +114,12 @@
 	organisation job.OrganisationID
 }
 
+// waitingJob is a job with how long it has had nothing running.
+type waitingJob struct {
+	id   job.ID
+	span time.Duration
+}
+
 // Waits returns the groups of waiting jobs found by the newest report, those that wait longest first.
 func (cr *Core) Waits() []Wait { return cr.waits }
 
@@ -131,11 +137,24 @@
 
 // findWaits returns the groups of waiting jobs, at most maxWaitReports.
 func (cr *Core) findWaits(now time.Time) []Wait {
-	type waiting struct {
-		js   *jobState
-		span time.Duration
+	groups := cr.groupWaiting(now)
+	if len(groups) == 0 {
+		return nil
+	}
+	var list []Wait
+	pool := cr.poolState(now)
+	for key, members := range groups {
+		list = append(list, cr.describeWait(key, members, pool))
 	}
-	groups := map[waitKey][]waiting{}
+	slices.SortFunc(list, func(one, other Wait) int {
+		return cmp.Or(cmp.Compare(other.Longest, one.Longest), cmp.Compare(one.Reason, other.Reason), cmp.Compare(one.Organisation, other.Organisation))
+	})
+	return list[:min(len(list), maxWaitReports)]
+}
+
+// groupWaiting groups the jobs that have waited for waitReportAfter or longer.
+func (cr *Core) groupWaiting(now time.Time) map[waitKey][]waitingJob {
+	groups := map[waitKey][]waitingJob{}
 	for _, js := range cr.openJobs {
 		since, idle := cr.idleSince(now, js)
 		if !idle || now.Sub(since) < waitReportAfter {
@@ -145,30 +164,24 @@
 		if key.reason == WaitAtLimit || key.reason == WaitNoAllowance {
 			key.organisation = js.spec.Organisation
 		}
-		groups[key] = append(groups[key], waiting{js, now.Sub(since)})
+		groups[key] = append(groups[key], waitingJob{js.spec.ID, now.Sub(since)})
 	}
-	if len(groups) == 0 {
-		return nil
+	return groups
+}
+
+// describeWait describes a group of waiting jobs.
+func (cr *Core) describeWait(key waitKey, members []waitingJob, pool PoolState) Wait {
+	slices.SortFunc(members, func(one, other waitingJob) int {
+		return cmp.Or(cmp.Compare(other.span, one.span), cmp.Compare(one.id, other.id))
+	})
+	wt := Wait{Reason: key.reason, Organisation: key.organisation, Longest: members[0].span, Count: len(members), Unresolved: len(cr.unresolved), Pool: pool}
+	if key.organisation != "" {
+		wt.Limit = cr.ledger.limitState(key.organisation)
 	}
-	var list []Wait
-	pool := cr.poolState(now)
-	for key, members := range groups {
-		slices.SortFunc(members, func(one, other waiting) int {
-			return cmp.Or(cmp.Compare(other.span, one.span), cmp.Compare(one.js.spec.ID, other.js.spec.ID))
-		})
-		wt := Wait{Reason: key.reason, Organisation: key.organisation, Longest: members[0].span, Count: len(members), Unresolved: len(cr.unresolved), Pool: pool}
-		if key.organisation != "" {
-			wt.Limit = cr.ledger.limitState(key.organisation)
-		}
-		for _, mb := range members[:min(len(members), maxWaitJobs)] {
-			wt.Jobs = append(wt.Jobs, mb.js.spec.ID)
-		}
-		list = append(list, wt)
+	for _, wj := range members[:min(len(members), maxWaitJobs)] {
+		wt.Jobs = append(wt.Jobs, wj.id)
 	}
-	slices.SortFunc(list, func(one, other Wait) int {
-		return cmp.Or(cmp.Compare(other.Longest, one.Longest), cmp.Compare(one.Reason, other.Reason), cmp.Compare(one.Organisation, other.Organisation))
-	})
-	return list[:min(len(list), maxWaitReports)]
+	return wt
 }
 
 // poolState returns what the cell knows of its workers.
