Late jobs wait by the room in use, not by room that is not counted on

Cause: while machines are short, late jobs leave 0.4 of their pool's room idle for other pools. What is in use was computed as the room less the room that is free now, and of a worker with an old registration only a third is free, of a cold one a part: an empty pool seemed two thirds full.

Evidence: TestLateJobsStartInAnEmptyPoolWhoseRoomIsNotAllCountedOn failed before, with no start of 100 tasks and 16 cores empty, for old registrations and for cold workers.

Change: the share in use is what attempts take of the room. Why it holds: with whole rooms both are the same, and how much of a room may be used is decided where tasks are placed.

--- a/cell/machinelimit.go
+++ b/cell/machinelimit.go
@@ -75,9 +75,10 @@
 	return rd.utilization() > max(lateShareMin, float64(cr.machineLimit)/float64(len(rd.usable)))
 }
 
-// utilization returns the used share of the usable room, by the scarcer resource.
+// utilization returns the used share of the room of the usable workers, by the scarcer resource. Room that is not counted on at present, since a
+// registration is old or a worker cold, is not in use.
 func (rd *round) utilization() float64 {
-	return 1 - min(fraction(rd.free.CPUMillis, rd.room.CPUMillis), fraction(rd.free.MemoryMB, rd.room.MemoryMB))
+	return max(fraction(rd.used.CPUMillis, rd.room.CPUMillis), fraction(rd.used.MemoryMB, rd.room.MemoryMB))
 }
 
 // fullQueues returns the queues whose new jobs cannot be served at present: with the machine limit, the work that can still meet its objective
--- a/cell/machinelimit_test.go
+++ b/cell/machinelimit_test.go
@@ -138,3 +138,29 @@
 		t.Errorf("%d starts of 16 tasks, want 9 to 11", got)
 	}
 }
+
+// TestLateJobsStartInAnEmptyPoolWhoseRoomIsNotAllCountedOn checks that late jobs do not wait for machines to become idle in a pool that is empty, while
+// only a part of its room is counted on.
+func TestLateJobsStartInAnEmptyPoolWhoseRoomIsNotAllCountedOn(t *testing.T) {
+	for name, arrange := range map[string]func(bd *testBed){
+		"old registrations": func(bd *testBed) { bd.core.renewalsVisible = true },
+		"cold workers": func(bd *testBed) {
+			for _, wk := range bd.core.sortedWorkers {
+				wk.coldSince, wk.coldUntil = bd.now, bd.now.Add(4*time.Second)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bd := newTestBed(t, 4)
+			bd.core.runTimes["q"] = runTimeStats{mean: time.Second, spread: defaultSpread}
+			bd.addJob("late", testEpoch, job.Step{Count: 100, Size: job.Size{CPUMillis: 500, MemoryMB: 10}})
+			bd.advance(20 * time.Second)
+			arrange(bd)
+			bd.advance(1200 * time.Millisecond)
+			bd.core.LimitMachines(bd.now, 1, false)
+			if got := len(startsIn(bd.plan())); got < 4 {
+				t.Errorf("%d starts of a late job in an empty pool of 16 cores", got)
+			}
+		})
+	}
+}
--- a/cell/place.go
+++ b/cell/place.go
@@ -227,7 +227,7 @@
 			continue
 		}
 		cr.startTask(now, st, at, cd, st.tasks[at].attempt+1)
-		rd.free = machineSize(job.Size(rd.free).Sub(room))
+		rd.used = rd.used.Add(room)
 	}
 	if unplaced > 0 {
 		cr.noteEvacuationWait(now, st)
--- a/cell/probation.go
+++ b/cell/probation.go
@@ -134,7 +134,7 @@
 			continue
 		}
 		cr.startTask(rd.now, st, at, cd, st.tasks[at].attempt+1)
-		rd.free = machineSize(job.Size(rd.free).Sub(st.spec.ResourceRequest()))
+		rd.used = rd.used.Add(st.spec.ResourceRequest())
 	}
 	return all
 }
--- a/cell/round.go
+++ b/cell/round.go
@@ -48,8 +48,8 @@
 	suspectsWaiting, useIdle bool
 	// quarantinedBefore is the value of quarantined at the start of the round.
 	quarantinedBefore int
-	// free and room are totals over the usable workers.
-	free, room machineSize
+	// used and room are totals over the usable workers.
+	used, room job.Size
 	// kept are the workers that late jobs may use under a machine limit. It is built on first use.
 	kept []*candidate
 	// byID indexes the usable workers by ID. It is built on first use.
@@ -60,14 +60,16 @@
 func (cr *Core) newRound(now time.Time) *round {
 	quarantined := cr.quarantined()
 	rd := &round{now: now, usable: cr.usable(now), quarantined: quarantined, quarantinedBefore: quarantined}
+	var free job.Size
 	for _, cd := range rd.usable {
-		// A worker whose room shrank below its usage counts as 0 instead of reducing the total.
-		rd.free = machineSize(job.Size(rd.free).Add(cd.free.NonNegative()))
-		rd.room = machineSize(job.Size(rd.room).Add(cd.info.Room))
+		// A worker whose room shrank below its usage counts as full instead of reducing the totals.
+		free = free.Add(cd.free.NonNegative())
+		rd.used = rd.used.Add(cd.used.Min(cd.info.Room))
+		rd.room = rd.room.Add(cd.info.Room)
 	}
 	cr.findRecentStarts(rd)
 	cr.reserveIntents(rd)
-	cr.roundUsable, cr.roundRoom = len(rd.usable), job.Size(rd.free)
+	cr.roundUsable, cr.roundRoom = len(rd.usable), free
 	return rd
 }
 
