--- a/cell/cell.go
+++ b/cell/cell.go
@@ -116,6 +116,7 @@
 	reservedUntil map[WorkerName]time.Time
 	urgentSave    bool
 	startWindow   startWindow
+	pace          paceCounts
 	// renewalsVisible means that the platform reports the renewal of a registration even if its content is unchanged.
 	renewalsVisible bool
 	link            linkMonitor
--- a/cell/load.go
+++ b/cell/load.go
@@ -53,6 +53,17 @@
 	demandWindowExpired = 8 * time.Second
 )
 
+// UsableWorkers returns the number of workers that accept tasks, or will as soon as they have been polled.
+func (ld Load) UsableWorkers() int {
+	count := 0
+	for _, wl := range ld.Workers {
+		if wl.Usable {
+			count++
+		}
+	}
+	return count
+}
+
 // Load returns the load of the cell.
 func (cr *Core) Load(now time.Time) Load {
 	ld := Load{Pool: cr.pool, Epoch: cr.epoch, OpenJobs: len(cr.openJobs), Slack: cr.minSlack()}
--- a/cell/orderresult.go
+++ b/cell/orderresult.go
@@ -50,7 +50,9 @@
 		return
 	}
 	if od.Outcome != NoAnswer && od.Outcome != NotSent {
-		cr.startWindow.observe(now, od.Received.Sub(pl.orderedAt))
+		span := od.Received.Sub(pl.orderedAt)
+		cr.startWindow.observe(now, span)
+		cr.pace.countStart(span)
 	}
 	switch od.Outcome {
 	case Done:
--- a/cell/place.go
+++ b/cell/place.go
@@ -363,6 +363,7 @@
 	ts.placement = pl
 	wk.addPlacement(pl)
 	cr.startWindow.inFlight++
+	cr.pace.started++
 	if len(cr.crashLoops) > 0 {
 		cd.recentStarts.add(cr, now, now, st.job)
 	}
--- a/cell/startwindow.go
+++ b/cell/startwindow.go
@@ -74,11 +74,15 @@
 
 // target returns the start time that the window aims for. The window grows up to it and shrinks at half as much again.
 func (sw *startWindow) target() time.Duration {
-	least := sw.minTime
+	return startQueueTime + 2*sw.shortest()
+}
+
+// shortest returns the shortest recent start time.
+func (sw *startWindow) shortest() time.Duration {
 	if sw.prevMinTime != 0 {
-		least = min(least, sw.prevMinTime)
+		return min(sw.minTime, sw.prevMinTime)
 	}
-	return startQueueTime + 2*least
+	return sw.minTime
 }
 
 // updateMinTime updates the shortest start time of the period.
--- a/cell/task.go
+++ b/cell/task.go
@@ -342,6 +342,9 @@
 	switch en.Reason {
 	case EndDone:
 		cr.runTimes.observeTask(st, pl, now)
+		if pl != nil && !st.spec.LongRunning && !pl.ackedAt.IsZero() {
+			cr.pace.countEnd(now.Sub(pl.ackedAt))
+		}
 		wk.failures.succeeded()
 		cr.taskDone(now, st, en.Task)
 	case EndFailed:
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -49,7 +49,7 @@
 	RegistrationRejected = Kind{803, "registration of a worker could not be read", zapcore.ErrorLevel, "Check the worker; it gets no tasks."}
 	ControlRowRejected   = Kind{804, "row of the control table could not be read", zapcore.ErrorLevel, "Check the versions of the entry instances; another version may have written the row."}
 	JobRowRejected       = Kind{805, "row of a job could not be read", zapcore.ErrorLevel, "The job does not run; an entry instance of another version may have written the row."}
-	StoreReached         = Kind{806, "store answers again", zapcore.InfoLevel, "Nothing."}
+	StoreReached         = Kind{806, "store answers again", zapcore.InfoLevel, "Nothing. The field `silent` is how long nothing was heard of the table."}
 	StoreLost            = Kind{807, "store does not answer", zapcore.WarnLevel, "Check the store. Running tasks continue; new jobs are refused until it answers."}
 	StoreDetour          = Kind{808, "store turns this instance away; calls go through peers", zapcore.WarnLevel, "Nothing if temporary."}
 	CellClaimed          = Kind{809, "cell claimed", zapcore.InfoLevel, "Nothing."}
@@ -95,6 +95,7 @@
 	AdmissionRefused     = Kind{850, "job refused, since it would end too late", zapcore.InfoLevel, "Nothing; the caller may return after `comeBack`. `wait` is the time until its tasks would start, `window` the time within which it has to end, `machines` the room that counts. Add machines if it goes on. If `evacuated` names a data hall, only its workers have a label that the job needs; the times are 0 then."}
 	AdmissionUnknown     = Kind{851, "owner of a cell does not say which jobs can be done", zapcore.WarnLevel, "Nothing if it is brief: jobs are accepted as if there was room, unless the queue is reported as full. Otherwise look at the owner and the network."}
 	JobsWait             = Kind{852, "accepted jobs have ready tasks and nothing running", zapcore.InfoLevel, "Nothing if brief. The field `why` is the reason, see docs/OPERATIONS.md; `longest` is the longest wait, `count` the number of jobs, and `jobs` names those that wait longest. `workers`, `room` and `taken` describe the pool, `usable` and `free` what accepts tasks."}
+	CellPace             = Kind{853, "starts and ends of a cell", zapcore.InfoLevel, "Nothing. `startTime` is the mean time from a decision to start until the worker's answer, `minStartTime` the shortest; `runTime` is the mean time from that answer until the end is known. `planning` is the share of the time that the owner planned for, `plans` how often. `peers` carry out orders. See docs/OPERATIONS.md."}
 	PoolPlanned          = Kind{860, "pool planned", zapcore.InfoLevel, "Nothing; all numbers are machines. `needed` is the reported demand, `planned` the demand planned for, `target` the size that follows, with `ahead` for a turn that has not begun; `current` has those on their way, which are `arriving`. The last seven fields count the machines that stay, by the reason."}
 	ForecastBegun        = Kind{861, "forecast of the pools' demand begun by a new leader", zapcore.InfoLevel, "Nothing; the field `why` says why no learned turns were found, `turns` is how many were."}
 	TurnSeen             = Kind{862, "turn of a pool's demand began or ended", zapcore.InfoLevel, "Nothing; the fields describe the newest turn. `length` is 0 while it lasts, `rest` and `height` are numbers of machines."}
@@ -116,5 +117,5 @@
 	JobAccepted, JobRefused, JobCancelled, AdviceFailed, PeerSilent, CarryRejected,
 	MachinesUnlisted, MachineWanted, MachineServiced, WaveReported, MachineMoved, PoolLoad, JobKnown, RelayLost, HallCutOff, HallReached,
 	StoreSlow, JobUnsure, WriteWaited, BytesMoved, PayloadMissing, WorkerLost, JobGivenUp, QueuePaused, QueueResumed, KeyRejected, KeyShared, AccountRejected, WorkerReborn, HallEvacuated, HallRestored, SaveImpossible, MovesDeferred,
-	AdmissionRefused, AdmissionUnknown, JobsWait, PoolPlanned, ForecastBegun, TurnSeen, DrainsDeferred,
+	AdmissionRefused, AdmissionUnknown, JobsWait, CellPace, PoolPlanned, ForecastBegun, TurnSeen, DrainsDeferred,
 }
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -67,6 +67,7 @@
 	takenOver bool
 	// planned is set once the core has planned for the first time.
 	planned bool
+	pace    paceLog
 }
 
 // newOwner returns an owner whose core knows no jobs yet.
@@ -272,6 +273,7 @@
 	events := ow.events
 	ow.events = nil
 	now := ow.fl.opts.Now()
+	defer ow.logPace(now)
 	ow.core.SetTimeOfDay(now, ow.fl.opts.WallClock())
 	_, registered := ow.fl.registry.healthyPeriod()
 	ow.core.RegistrationsRead(registered)
--- a/fleet/poolsizes.go
+++ b/fleet/poolsizes.go
@@ -215,7 +215,7 @@
 		full = collectFullQueues(loads)
 		ct.recordDrained(loads)
 		for _, ld := range loads {
-			ct.fl.opts.Log.Emit(event.PoolLoad, zap.String("pool", string(ld.Pool)), zap.Float64("needed", ld.Demand), zap.Float64("placed", ld.Placed), zap.Float64("lasting", ld.LongRunning), zap.Duration("slack", ld.Slack), zap.Int("workers", len(ld.Workers)), zap.Int("open", ld.OpenJobs))
+			ct.fl.opts.Log.Emit(event.PoolLoad, zap.String("pool", string(ld.Pool)), zap.Float64("needed", ld.Demand), zap.Float64("placed", ld.Placed), zap.Float64("lasting", ld.LongRunning), zap.Duration("slack", ld.Slack), zap.Int("workers", len(ld.Workers)), zap.Int("usable", ld.UsableWorkers()), zap.Int("open", ld.OpenJobs))
 		}
 		ct.mu.Lock()
 		machines := ct.fl.outsideEvacuation(ct.waveRunner.Machines())
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -108,6 +108,17 @@
 	}
 }
 
+// count returns the number of peers that workers are assigned to.
+func (rs *relays) count() int {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	used := map[*relayLink]bool{}
+	for _, ln := range rs.assigned {
+		used[ln] = true
+	}
+	return len(used)
+}
+
 // nextScale adjusts the scale to the duration of starts. If starts queue, at the owner's link or processor or at those of its
 // peers, more peers share the load. If they do not, fewer peers are used, since each one adds calls that poll for results.
 func nextScale(scale float64, startTime time.Duration) float64 {
--- a/fleet/tablewatch.go
+++ b/fleet/tablewatch.go
@@ -61,6 +61,8 @@
 	// for none.
 	lastSuccess, successSince atomic.Int64
 	failing                   bool
+	// silentFor is how long nothing was heard before the last successful call.
+	silentFor time.Duration
 	// idle reports whether nobody needs the table at present; nil means it is always needed. onIdle is called when the watch
 	// becomes idle.
 	idle   func() bool
@@ -170,7 +172,7 @@
 func (wt *tableWatch) updateHealth(err error) {
 	if err == nil || errors.Is(err, ErrHistoryTruncated) {
 		if wt.failing {
-			wt.fl.opts.Log.Emit(event.StoreReached, zap.String("table", wt.table))
+			wt.fl.opts.Log.Emit(event.StoreReached, zap.String("table", wt.table), zap.Duration("silent", wt.silentFor))
 		}
 		wt.failing = false
 		return
@@ -184,6 +186,8 @@
 
 // recordSuccess records a successful call.
 func (wt *tableWatch) recordSuccess(sentAt time.Time) {
+	_, until := wt.healthyPeriod()
+	wt.silentFor = wt.fl.opts.Now().Sub(until)
 	if wt.successSince.Load() == 0 {
 		wt.successSince.Store(int64(sentAt.Sub(wt.origin)))
 	}
