A cell stays with its owner while a worker with tasks does not answer

Cause: cells are handed over for load without regard to workers that do not answer. The next owner has to poll all workers first, and waits for the leases of those that it cannot reach.

Change: a cell moves for load only while all its workers with tasks answer. Leases end within seconds, so it does not stay for long.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -354,6 +354,13 @@
 // TakeoverComplete reports whether no task of an earlier owner can run unseen any more.
 func (cr *Core) TakeoverComplete() bool { return len(cr.unresolved) == 0 }
 
+// HoldsUnreached reports whether a worker that does not answer holds tasks. The next owner could not take them over before their leases end.
+func (cr *Core) HoldsUnreached() bool {
+	return slices.ContainsFunc(cr.sortedWorkers, func(wk *worker) bool {
+		return wk.failedPolls > 0 && len(wk.placements)+len(wk.foreign) > 0
+	})
+}
+
 // WorkersRecorded records that the stored list names these workers, so that the next owner will poll them.
 func (cr *Core) WorkersRecorded(refs []WorkerRef) {
 	for _, rf := range refs {
--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -241,3 +241,25 @@
 	bd.advance(20 * time.Millisecond)
 	return stops
 }
+
+// TestCellHoldsUnreachedWorkersUntilTheirLeasesEnd guards against handovers whose next owner would have to wait for workers that do not
+// answer: the cell has to tell that it holds tasks there, but no longer than their leases run.
+func TestCellHoldsUnreachedWorkersUntilTheirLeasesEnd(t *testing.T) {
+	bd := newTestBed(t, 2)
+	bd.autoSave = true
+	bd.addJob("j", testEpoch, taskStep(1))
+	st := bd.wantStarts(bd.plan(), 1)[0]
+	bd.answerOrder(st, Done)
+	if bd.core.HoldsUnreached() {
+		t.Fatal("all workers answer")
+	}
+	bd.waitForPoll(st.Worker)
+	bd.failPoll(st.Worker)
+	if !bd.core.HoldsUnreached() {
+		t.Error("the worker of the task does not answer")
+	}
+	bd.runUnresponsive(st.Worker, bd.core.byWorkerClock(bd.core.opts.LeaseDuration)+deliveryMargin+maxPollBackoff+2*idlePlanInterval)
+	if bd.core.HoldsUnreached() {
+		t.Error("the task's lease is over")
+	}
+}
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -453,11 +453,11 @@
 }
 
 // canMove reports whether the cell can move to another instance: it has been here for some time, nothing of earlier owners is
-// unresolved, and no job is waiting unless evenIfWaiting is set.
+// unresolved, the workers with tasks answer, and no job is waiting unless evenIfWaiting is set.
 func (ow *owner) canMove(now time.Time, evenIfWaiting bool) bool {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	return ow.planned && ow.core.TakeoverComplete() && now.Sub(ow.claimedAt) > cellMoveInterval && (evenIfWaiting || !ow.core.HasPending(now))
+	return ow.planned && ow.core.TakeoverComplete() && !ow.core.HoldsUnreached() && now.Sub(ow.claimedAt) > cellMoveInterval && (evenIfWaiting || !ow.core.HasPending(now))
 }
 
 // jobStatus returns a job's state if this owner has the job in memory.
--- a/fleet/release_test.go
+++ b/fleet/release_test.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/aspenseam/aspenseam/cell"
 	"github.com/aspenseam/aspenseam/job"
 )
 
@@ -41,6 +44,45 @@
 	}
 }
 
+// TestCellWithUnreachedWorkersIsNotMoved checks that a cell stays while a worker with tasks does not answer, whatever the other instances'
+// load.
+func TestCellWithUnreachedWorkersIsNotMoved(t *testing.T) {
+	cl := newCluster(t, time.Hour)
+	cl.workersFor = func(string) Workers { return &mutableWorkers{fakeWorkers: cl.workers} }
+	one := cl.start("one")
+	cl.waitOwner(one)
+	if result := cl.submit(one, "j"); result != Accepted {
+		t.Fatal(result)
+	}
+	ow := one.ownerOf("pool")
+	movable := func() bool {
+		ow.mu.Lock()
+		ow.claimedAt = time.Time{}
+		ow.mu.Unlock()
+		return ow.canMove(one.opts.Now(), true)
+	}
+	cl.eventually("its tasks run", func() bool { return cl.workers.peakRunning() == 2 })
+	if !movable() {
+		t.Error("a cell whose workers answer cannot move")
+	}
+	one.opts.Workers.(*adaptiveWorkers).Workers.(*mutableWorkers).silent.Store(true)
+	cl.eventually("the cell stays", func() bool { return !movable() })
+}
+
+// mutableWorkers are workers that can fall silent.
+type mutableWorkers struct {
+	*fakeWorkers
+	silent atomic.Bool
+}
+
+func (mw *mutableWorkers) Poll(ctx context.Context, poll cell.Poll) cell.PollResult {
+	result := mw.fakeWorkers.Poll(ctx, poll)
+	if mw.silent.Load() {
+		return cell.PollResult{Poll: poll, Outcome: cell.NoAnswer, Sent: result.Sent, Received: result.Received}
+	}
+	return result
+}
+
 func TestBestLoadRatio(t *testing.T) {
 	fl := New(Options{Name: "small", Store: &faultyStore{mem: newMemStore()}, Workers: newWorkers(0), Machines: noMachines{}, Format: testFormat{}})
 	live := map[string]node{"small": {Name: "small", Power: 0.2}, "large": {Name: "large", Power: 0.8}, "leaving": {Name: "leaving", Power: 8, Leaving: true}}
