--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -108,15 +108,22 @@
 	}
 }
 
-// count returns the number of peers that workers are assigned to.
-func (rs *relays) count() int {
+// startTimes returns the smoothed start times of the peers that workers are assigned to, in ascending order.
+func (rs *relays) startTimes() []time.Duration {
 	rs.mu.Lock()
-	defer rs.mu.Unlock()
 	used := map[*relayLink]bool{}
 	for _, ln := range rs.assigned {
 		used[ln] = true
 	}
-	return len(used)
+	rs.mu.Unlock()
+	var times []time.Duration
+	for ln := range used {
+		ln.mu.Lock()
+		times = append(times, ln.startTime)
+		ln.mu.Unlock()
+	}
+	slices.Sort(times)
+	return times
 }
 
 // nextScale adjusts the scale to the duration of starts. If starts queue, at the owner's link or processor or at those of its
@@ -219,6 +226,10 @@
 	// failures counts consecutive failures.
 	failures  int
 	callPause time.Duration
+	// startTime is the smoothed time from the submission of a start until its result, as of starts answered since the link was last
+	// avoided.
+	startTime time.Duration
+	starts    int
 }
 
 // pendingOrder is an order that was given to a peer and has no result yet.
@@ -342,8 +353,22 @@
 	}
 }
 
+// peerTimeWeight is the weight of the newest start in the smoothed start time of a link.
+const peerTimeWeight = 0.1
+
+// recordStart records how long a start took through this peer.
+func (ln *relayLink) recordStart(span time.Duration) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.starts++
+	ln.startTime += time.Duration(max(peerTimeWeight, 1/float64(ln.starts)) * float64(span-ln.startTime))
+}
+
 // deliver passes the result of an order to the core.
 func (ln *relayLink) deliver(po pendingOrder, rr *peer.RelayResult, receivedAt time.Time) {
+	if _, ok := po.order.(cell.Start); ok {
+		ln.recordStart(receivedAt.Sub(po.sentAt))
+	}
 	if look, ok := po.order.(cell.Poll); ok {
 		ln.rs.ow.handlePollResult(fromRelayPollResult(rr, look, po.sentAt, receivedAt))
 		return
