A cancelled store call says nothing of the peer that carried it

If a peer carried that call, the peer was left for a second, and since feed calls leave a path that has failed, all other calls through it were ended as well. A cancelled call now leaves its peer alone. A repeatable call that goes on to the next peer does not wait for changes there, since nothing is known of it.

TestCancelledCallLeavesOtherCallsOnTheirPath fails on the commit before (calls go through another peer).

--- a/fleet/pathfailure_test.go
+++ b/fleet/pathfailure_test.go
@@ -127,6 +127,39 @@
 	}
 }
 
+// TestCancelledCallLeavesOtherCallsOnTheirPath cancels one of two feed calls that a peer carries, as an owner does that loses its cell. That
+// says nothing about the peer: the other call must stay there, and so must later ones.
+func TestCancelledCallLeavesOtherCallsOnTheirPath(t *testing.T) {
+	withFakeClock(t, func(ctx context.Context, t *testing.T) {
+		store, cut := newSerialStore(1), make(chan struct{})
+		fl := startBehindCut(ctx, store, cut, 0, 4)
+		close(cut)
+		time.Sleep(5 * time.Second)
+		carrier := fl.peers.carrierAddresses()[0]
+		lostCtx, lose := context.WithCancel(ctx)
+		kept := make(chan error, 1)
+		go func() {
+			_, err := fl.peers.carry(ctx, storeCall{Kind: callFeed, Table: "kept", After: 1 << 40, Wait: time.Second})
+			kept <- err
+		}()
+		go fl.peers.carry(lostCtx, storeCall{Kind: callFeed, Table: "lost", After: 1 << 40, Wait: time.Second})
+		time.Sleep(100 * time.Millisecond)
+		lose()
+		time.Sleep(100 * time.Millisecond)
+		if got := fl.peers.carrierAddresses()[0]; got != carrier {
+			t.Errorf("calls go through %s, before through %s", got, carrier)
+		}
+		select {
+		case err := <-kept:
+			t.Errorf("the other call has ended: %v", err)
+		default:
+		}
+		if err := <-kept; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // has reports whether the watch knows a row.
 func (wt *tableWatch) has(place Place) bool {
 	wt.mu.Lock()
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -177,17 +178,18 @@
 }
 
 // carry makes a store call through a peer. It returns ErrRefused if no peer can have made the call. A repeatable call that a peer does
-// not answer goes to the next one.
+// not answer goes to the next one, of which nothing is known, so that it must not wait for changes there.
 func (pr *peers) carry(ctx context.Context, call storeCall) (storeResult, error) {
-	raw, err := json.Marshal(call)
-	if err != nil {
-		return storeResult{}, ErrRefused
-	}
 	for _, address := range pr.carrierAddresses() {
-		rp, err := pr.carryThrough(ctx, address, call, raw)
+		rp, err := pr.carryThrough(ctx, address, call)
+		if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+			// The caller cancelled the call, which says nothing about the peer.
+			return storeResult{}, ErrNoAnswer
+		}
 		if err != nil {
 			pr.backOff(address)
 			if call.repeatable() && ctx.Err() == nil {
+				call.Wait = 0
 				continue
 			}
 			// The peer may have made the call before it failed.
@@ -208,7 +210,11 @@
 }
 
 // carryThrough makes a store call through one peer.
-func (pr *peers) carryThrough(ctx context.Context, address string, call storeCall, raw []byte) (*peer.CarryResponse, error) {
+func (pr *peers) carryThrough(ctx context.Context, address string, call storeCall) (*peer.CarryResponse, error) {
+	raw, err := json.Marshal(call)
+	if err != nil {
+		return nil, err
+	}
 	if call.repeatable() {
 		pathCtx, leave := pr.paths.join(ctx, address)
 		defer leave()
