--- a/cell/linkmonitor_test.go
+++ b/cell/linkmonitor_test.go
@@ -27,10 +27,7 @@
 // A worker that does not answer while another one does has lost its tasks. They are started on the other worker once the lease has expired.
 func TestLeaseExpiresOnceOthersAnswer(t *testing.T) {
 	bd := newTestBed(t, 2)
-	bd.autoSave = true
-	bd.addJob("a", testEpoch, taskStep(1))
-	st := bd.wantStarts(bd.plan(), 1)[0]
-	bd.answerOrder(st, Done)
+	st := bd.runTask("a")
 	bd.failPoll(st.Worker)
 	again := 0
 	for range 80 {
--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -246,10 +246,7 @@
 // answer: the cell has to tell that it holds tasks there, but no longer than their leases run.
 func TestCellHoldsUnreachedWorkersUntilTheirLeasesEnd(t *testing.T) {
 	bd := newTestBed(t, 2)
-	bd.autoSave = true
-	bd.addJob("j", testEpoch, taskStep(1))
-	st := bd.wantStarts(bd.plan(), 1)[0]
-	bd.answerOrder(st, Done)
+	st := bd.runTask("j")
 	if bd.core.HoldsUnreached() {
 		t.Fatal("all workers answer")
 	}
--- a/cell/testbed_test.go
+++ b/cell/testbed_test.go
@@ -109,6 +109,16 @@
 	bd.core.Add(bd.now, StoredJob{Spec: &job.Spec{ID: id, Queue: "q", Pool: bd.pool, Steps: steps, Epoch: epoch, AcceptedAt: bd.now}})
 }
 
+// runTask adds a job of one task and returns the start of the task, which its worker has carried out. Saves are confirmed from then on.
+func (bd *testBed) runTask(id job.ID) Start {
+	bd.t.Helper()
+	bd.autoSave = true
+	bd.addJob(id, testEpoch, taskStep(1))
+	st := bd.wantStarts(bd.plan(), 1)[0]
+	bd.answerOrder(st, Done)
+	return st
+}
+
 // startsIn returns the starts among orders.
 func startsIn(orders []Order) []Start {
 	var list []Start
