--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,8 +22,10 @@
 
 // world is one deployment: stand-ins in this process, and the project's entry instances as processes.
 type world struct {
-	rec      *record
-	trouble  bool
+	rec     *record
+	trouble bool
+	// starts takes the starts of processes.
+	starts   chan func()
 	dir      string
 	store    *store
 	mu       sync.Mutex // guards the fields below
@@ -43,7 +46,18 @@
 }
 
 func newWorld(rec *record, trouble bool) *world {
-	return &world{rec: rec, trouble: trouble, store: newStore(rec), jobs: map[string]submission{}, gangs: map[string]*gang{}, owners: map[string]string{}, events: map[int]int{}}
+	wd := &world{rec: rec, trouble: trouble, store: newStore(rec), starts: make(chan func()), jobs: map[string]submission{}, gangs: map[string]*gang{}, owners: map[string]string{}, events: map[int]int{}}
+	go wd.startProcesses()
+	return wd
+}
+
+// startProcesses starts processes on a thread that lives as long as this process, so that they end with it even if it is killed: the signal for
+// that is sent when the thread ends that has started them.
+func (wd *world) startProcesses() {
+	runtime.LockOSThread()
+	for start := range wd.starts {
+		start()
+	}
 }
 
 // began notes that a run begins.
@@ -249,7 +263,10 @@
 		return err
 	}
 	cmd.Stderr = cmd.Stdout
-	if err := cmd.Start(); err != nil {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	en.wd.starts <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
 		return err
 	}
 	done := make(chan struct{})
