The loss of a gang's workers counts once for an attempt, not once for each member

Cause: a gang's losses are kept alike for all members, and charge was called for each member on the lost worker: n members there, n losses. Four weak losses that were observed, or five of any kind, fail a job.

TestGangSurvivesOneLossOfItsWorkers on the code before: gangs of 6, 16 and 4,096 on one worker fail at its silent loss, gangs over three and seven workers when these are lost at once, silent or not.

Change: a loss counts for an attempt of the gang; the strongest observation of it is kept. Rows name the attempts that count, and number the attempt of a gang that is left or about to be started.

Why it holds: all members share the attempt's number and the next one is higher. Successors count the same attempt once, two attempts twice. A gang that ends its workers loses one in each attempt and is given up as a single task is (tests for crashes, unchanged, and for silence, new).

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -219,6 +219,9 @@
 		}
 		return
 	}
+	if pl.step.spec.Gang && !ts.losses.beginGangLoss(pl.attempt, LossRecord{pl.worker.info.ID, ev.kind}) {
+		return
+	}
 	ts.losses.add(pl.worker.info.ID, ev)
 	ts.losses.record(pl.worker.info.ID, ev.kind)
 	if ev.strong && ev.recentStart && !pl.step.spec.LongRunning {
--- a/cell/losses.go
+++ b/cell/losses.go
@@ -41,6 +41,9 @@
 	suspect, late, soleJob bool
 	// longestRun is the longest time that a long-running task had run at a loss that was not charged to it.
 	longestRun time.Duration
+	// gangLosses holds, for a gang, the attempts of which a loss counts. An attempt of a gang is over with the first worker that is lost under it, so
+	// all workers and members that it loses are one loss.
+	gangLosses []gangLoss
 	// unresolved lists the workers on which the outcome of an attempt is unknown, because its lease expired or an earlier owner left it there.
 	unresolved []WorkerID
 	// started lists those of the unresolved workers that are known to have started the attempt.
@@ -49,6 +52,46 @@
 	history []LossRecord
 }
 
+// gangLoss is the loss that counts for an attempt of a gang. The record is empty if an earlier owner counted it.
+type gangLoss struct {
+	attempt job.Attempt
+	record  LossRecord
+}
+
+// beginGangLoss reports whether the loss of a worker is to be added for an attempt of a gang. If another loss already counts for the attempt, the
+// stronger evidence of the two is kept.
+func (lo *losses) beginGangLoss(attempt job.Attempt, rec LossRecord) bool {
+	lo.gangLosses = slices.Clone(lo.gangLosses)
+	at := slices.IndexFunc(lo.gangLosses, func(gl gangLoss) bool { return gl.attempt == attempt })
+	if at < 0 {
+		lo.gangLosses = append(lo.gangLosses, gangLoss{attempt, rec})
+		return true
+	}
+	counted := lo.gangLosses[at].record
+	if rec.Kind.weight() <= counted.Kind.weight() || !lo.withdraw(counted) {
+		return false
+	}
+	lo.gangLosses[at].record = rec
+	return true
+}
+
+// withdraw removes a weak loss. It reports false if the loss does not count any more.
+func (lo *losses) withdraw(rec LossRecord) bool {
+	at := slices.Index(lo.history, rec)
+	if at < 0 || rec.Kind.strong() {
+		return false
+	}
+	lo.history = slices.Delete(slices.Clone(lo.history), at, at+1)
+	lo.weak--
+	if rec.Kind.observed() {
+		lo.observed--
+	}
+	if rec.Kind == LossExplained {
+		lo.explained--
+	}
+	return true
+}
+
 // weighted returns the number of losses, in which two or three that are weak or unresolved count as one or two.
 func (lo losses) weighted() int { return len(lo.workers) + (lo.weak+len(lo.unresolved))*2/3 }
 
@@ -140,6 +183,9 @@
 	for _, id := range lo.workers {
 		saved.Workers = append(saved.Workers, string(id))
 	}
+	for _, gl := range lo.gangLosses {
+		saved.GangAttempts = append(saved.GangAttempts, gl.attempt)
+	}
 	return saved
 }
 
@@ -153,6 +199,9 @@
 		lo.workers = append(lo.workers, WorkerID(id))
 		lo.record(WorkerID(id), LossRestored)
 	}
+	for _, attempt := range saved.GangAttempts {
+		lo.gangLosses = append(lo.gangLosses, gangLoss{attempt: attempt})
+	}
 	for range lo.weak {
 		lo.record("", LossRestored)
 	}
--- a/cell/losskind.go
+++ b/cell/losskind.go
@@ -53,6 +53,21 @@
 	return lk.strong()
 }
 
+// weight ranks kinds by how much they say about the task. It is 0 for the kind of a loss that an earlier owner recorded.
+func (lk LossKind) weight() int {
+	switch {
+	case lk.strong():
+		return 4
+	case lk.observed():
+		return 3
+	case lk == LossExplained:
+		return 1
+	case lk == "":
+		return 0
+	}
+	return 2
+}
+
 // LossRecord is one loss of a task. Worker is empty if it is not known any more.
 type LossRecord struct {
 	Worker WorkerID `json:"worker,omitempty"`
--- a/cell/progress.go
+++ b/cell/progress.go
@@ -51,11 +51,11 @@
 			}
 			pg.Losses[key] = lost.stored()
 		}
-		if ts.attempt > 1 {
+		if attempt := st.savedAttempt(ts); attempt > 0 {
 			if pg.Attempts == nil {
 				pg.Attempts = map[string]job.Attempt{}
 			}
-			pg.Attempts[key] = ts.attempt
+			pg.Attempts[key] = attempt
 		}
 	}
 	if len(bits) > 0 {
@@ -66,6 +66,18 @@
 	}
 }
 
+// savedAttempt returns the attempt of a task to be saved, or 0 if the next owner can do without. It has to tell the attempts of a gang from one
+// another, also one that is about to be started.
+func (st *step) savedAttempt(ts *taskState) job.Attempt {
+	switch {
+	case st.spec.Gang && ts.intent != nil:
+		return ts.attempt + 1
+	case st.spec.Gang || ts.attempt > 1:
+		return ts.attempt
+	}
+	return 0
+}
+
 // saveUnresolved adds the workers on which the next owner may not find a task any more.
 func (st *step) saveUnresolved(pg *job.Progress, at int) {
 	key, lo := job.StepKey(st.run, st.index), st.tasks[at].unresolvedLosses()
--- a/cell/task.go
+++ b/cell/task.go
@@ -75,6 +75,8 @@
 	tasks        []taskState
 	done         int
 	waitingSince time.Time
+	// inheritedAttempt is the newest attempt of a gang under earlier owners, as far as their rows tell.
+	inheritedAttempt job.Attempt
 	// evacuationNoted means that the log says that the step waits for an evacuated data hall.
 	evacuationNoted bool
 	// preempting lists the tasks that are being stopped to make room for this step.
@@ -291,6 +293,7 @@
 		ts := &st.tasks[at]
 		key := job.TaskKey(job.Task{Run: st.run, Step: st.index, Index: at})
 		ts.failed, ts.attempt = pg.FailedAttempts[key], max(pg.Attempts[key], job.Attempt(len(pg.FailedAttempts[key])))
+		st.inheritedAttempt = max(st.inheritedAttempt, ts.attempt)
 		if lost, ok := pg.Losses[key]; ok {
 			ts.losses = restoreLosses(lost)
 			st.job.hasUnresolved = st.job.hasUnresolved || len(ts.losses.unresolved) > 0
--- a/cell/unresolved.go
+++ b/cell/unresolved.go
@@ -28,7 +28,11 @@
 // chargeUnplaced charges the loss of a worker to a task that this owner has not placed on it.
 func (cr *Core) chargeUnplaced(now time.Time, st *step, at int, id WorkerID, ev evidence) {
 	tk := job.Task{Job: st.job.spec.ID, Run: st.run, Step: st.index, Index: at}
-	cr.charge(now, &placement{task: tk, step: st, worker: &worker{info: Worker{ID: id}}, attempt: st.tasks[at].attempt}, ev)
+	attempt := st.tasks[at].attempt
+	if st.spec.Gang {
+		attempt = st.inheritedAttempt
+	}
+	cr.charge(now, &placement{task: tk, step: st, worker: &worker{info: Worker{ID: id}}, attempt: attempt}, ev)
 }
 
 // unresolvedOn iterates over the tasks of a job that have an attempt with an unknown outcome on a worker.
--- a/job/progress.go
+++ b/job/progress.go
@@ -45,6 +45,8 @@
 	LostAfter time.Duration `json:"lostAfter,omitempty"`
 	// Late means that one of them ended some time after it started the task.
 	Late bool `json:"late,omitempty"`
+	// GangAttempts holds the attempts of a gang of which a loss counts.
+	GangAttempts []Attempt `json:"gangAttempts,omitempty"`
 	// Suspect means that the task may have caused one of them.
 	Suspect bool `json:"suspect,omitempty"`
 	// LongestRun is the longest time that a long-running task had run when its worker ended without the loss being attributed to the task.
