Progress of a job is bounded and divided over rows; what the store refuses ends one job, not its pool

Cause: the progress of a job had no bound, whatever the limits of a job said, and nothing read platform.row_bytes. The store refused a row of some 70 KB, and a refusal for ever ended the saves and all starts of the cell (event 848), whichever job it was for.

Evidence: event 848 in the record names the job's progress row. TestWideJobThatFailsDoesNotStopItsPool stands for 60 s on the code before; TestProgressThatTheStoreRefusesEndsItsJobAlone saves nothing of the others there. Found beside it: 45 jobs that fit one by one, but not in one transaction of a megabyte, ended the saves as well (TestSaveOfManyLargeJobsIsDivided, 0 of 45 saved before).

Change: progress that does not fit in one row is packed and divided over up to 14 rows in one transaction; saves are divided by bytes. Jobs whose progress could outgrow that are refused at once (413), and the open runs of a job have at most MaxTasks tasks. Progress that the store refuses nonetheless fails that job alone (event 854); event 848 is left for transactions without progress. The limit of a row comes from the settings. Core.SaveFailed, which nothing called, is gone.

TestOwnerThatCannotSaveStartsNothing now gets a row that is not a job's progress, with the same checks: what it did with a job's progress was the fault.

Why it holds: TestLargestProgressStaysWithinItsBound builds the largest progress that the limits allow and finds it below the bound that jobs are accepted by, at 1, 4 and 12 attempts.

--- a/cell/place.go
+++ b/cell/place.go
@@ -103,6 +103,10 @@
 			break
 		}
 		if !js.runsDone.Has(js.nextRun) {
+			if js.runsFull() {
+				// The next run starts once another one has completed.
+				break
+			}
 			js.openRun(js.nextRun)
 		}
 		js.nextRun++
@@ -126,6 +130,20 @@
 	return runs
 }
 
+// runsFull reports whether as many runs of the job are open as its progress has room for.
+func (js *jobState) runsFull() bool {
+	tasks, open := 0, 0
+	for _, st := range js.spec.Steps {
+		tasks += st.Count
+	}
+	for at := range js.runs {
+		if !js.runsDone.Has(at) {
+			open++
+		}
+	}
+	return open >= job.MaxOpenRuns(tasks)
+}
+
 // holdReason returns why a task may not be started on any worker yet, or an empty reason.
 func (cr *Core) holdReason(now time.Time, ts *taskState) WaitReason {
 	switch {
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -292,20 +292,45 @@
 	cr.order(sv)
 }
 
-// Saved records that the last save is stored under the given version.
-func (cr *Core) Saved(now time.Time, version int64) {
-	for _, sm := range cr.pendingSaves {
+// Saved records that the last save is stored under a version, or, if jobs are given, the part of it with their progress.
+func (cr *Core) Saved(_ time.Time, version int64, ids ...job.ID) {
+	for at := 0; at < len(cr.pendingSaves); {
+		sm := cr.pendingSaves[at]
+		if len(ids) > 0 && !slices.Contains(ids, sm.js.spec.ID) {
+			at++
+			continue
+		}
 		sm.js.version, sm.js.savedGen, sm.js.storedState = version, sm.gen, sm.state
+		cr.removePendingSave(at)
+	}
+}
+
+// SaveRejected records that the store will never take the progress of a job as it is. The job fails, since the progress of a job that has ended needs
+// hardly any room. SaveRejected returns false if the job has ended already.
+func (cr *Core) SaveRejected(now time.Time, id job.ID) bool {
+	at := slices.IndexFunc(cr.pendingSaves, func(sm savedState) bool { return sm.js.spec.ID == id })
+	if at < 0 {
+		return true
+	}
+	sm := cr.pendingSaves[at]
+	cr.removePendingSave(at)
+	cr.dirtyJobs[id] = sm.js
+	if sm.js.state.Ended() {
+		return false
 	}
-	cr.pendingSaves = nil
+	sm.js.state, sm.js.endedAt = job.Failed, now
+	cr.markDirty(sm.js)
+	cr.urgentSave = true
+	cr.opts.Log(Decision{What: "job failed", Task: job.Task{Job: id}, Why: "the store does not take its progress"})
+	return true
 }
 
-// SaveFailed records that the last save failed and has to be retried.
-func (cr *Core) SaveFailed(now time.Time) {
-	for _, sm := range cr.pendingSaves {
-		cr.dirtyJobs[sm.js.spec.ID] = sm.js
+// removePendingSave removes a job from the save that is in flight. The save is over once no job is left.
+func (cr *Core) removePendingSave(at int) {
+	cr.pendingSaves = slices.Delete(cr.pendingSaves, at, at+1)
+	if len(cr.pendingSaves) == 0 {
+		cr.pendingSaves = nil
 	}
-	cr.pendingSaves, cr.saveOrderedAt = nil, now
 }
 
 // Supersede records that the store names another owner.
--- a/fleet/archive.go
+++ b/fleet/archive.go
@@ -15,8 +15,12 @@
 	"go.uber.org/zap"
 )
 
-// commit retries a transaction until it succeeds, another owner has replaced this one, or the context ends.
-func (ow *owner) commit(ctx context.Context, tx Tx) (int64, bool) {
+// errNotCommitted means that another owner has replaced this one, or that the context has ended.
+var errNotCommitted = errors.New("the transaction was not committed")
+
+// commit retries a transaction until it succeeds, the store will never take it (ErrInvalid), or it is of no use any more
+// (errNotCommitted).
+func (ow *owner) commit(ctx context.Context, tx Tx) (int64, error) {
 	for ctx.Err() == nil && !ow.lost.Load() {
 		callCtx, cancel := context.WithTimeout(ctx, ow.fl.store.commitTimeout())
 		sentAt := ow.fl.opts.Now()
@@ -24,19 +28,18 @@
 		cancel()
 		if err == nil {
 			ow.post(func(cr *cell.Core, _ time.Time) { cr.OwnershipConfirmed(sentAt) })
-			return version, true
+			return version, nil
 		}
 		var cf *Conflict
 		if errors.As(err, &cf) {
 			if version := earlierCommitVersion(tx, cf); version != 0 {
-				return version, true
+				return version, nil
 			}
 			ow.loseOwnership("a write conflicted with a newer version in the store")
-			return 0, false
+			return 0, errNotCommitted
 		}
 		if errors.Is(err, ErrInvalid) {
-			ow.stopSaving(tx, err)
-			return 0, false
+			return 0, err
 		}
 		if errors.Is(err, ErrNoAnswer) {
 			// The timeout was long enough; the conditions of the next attempt show whether this one was carried out.
@@ -44,14 +47,22 @@
 		}
 		sleep(ctx, writeRetryDelay)
 	}
-	return 0, false
+	return 0, errNotCommitted
 }
 
-// stopSaving ends the saves of an owner whose transaction the store will never take. The owner keeps what runs under its leases,
-// starts nothing more and refuses new jobs, since it could not keep their ends.
+// stopSaving ends the saves of an owner whose transaction the store will never take, although it is not the progress of a job that
+// is too large. The owner keeps what runs under its leases, starts nothing more and refuses new jobs, since it could not keep their
+// ends.
 func (ow *owner) stopSaving(tx Tx, err error) {
+	if ow.endSaves(tx, err) {
+		ow.post(func(cr *cell.Core, _ time.Time) { cr.StopStarting() })
+	}
+}
+
+// endSaves ends the saves, and reports whether they had not ended before.
+func (ow *owner) endSaves(tx Tx, err error) bool {
 	if ow.savingStopped.Swap(true) {
-		return
+		return false
 	}
 	largest := Row{}
 	for _, rw := range tx.Write {
@@ -60,7 +71,7 @@
 		}
 	}
 	ow.fl.opts.Log.Emit(event.SaveImpossible, zap.String("cell", ow.name), zap.Int("entries", tx.entryCount()), zap.String("table", largest.Table), zap.String("key", largest.Key), zap.Int("bytes", len(largest.Value)), zap.Error(err))
-	ow.post(func(cr *cell.Core, _ time.Time) { cr.StopStarting() })
+	return true
 }
 
 // earlierCommitVersion returns the version that an earlier attempt of the same transaction wrote, if that attempt is why the
@@ -116,13 +127,14 @@
 		return
 	}
 	ids = ow.removeRows(ctx, ids, func(id job.ID) []Place { return []Place{{tableHome, partName(homePart(id)), string(id)}} })
-	ids = ow.removeRows(ctx, ids, func(id job.ID) []Place { return []Place{{tableProgress, ow.name, string(id)}} })
+	ids = ow.removeRows(ctx, ids, func(id job.ID) []Place { return []Place{ow.progressPlace(id)} })
 	// Rows that could not be deleted are deleted in a later round.
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	ow.core.Forget(ids)
 	for _, id := range ids {
 		delete(ow.storedProgress, id)
+		delete(ow.storedParts, id)
 	}
 }
 
--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"net"
@@ -29,6 +30,21 @@
 // maxRowBytes is the largest row that the store takes. The platform's limit applies to the encoded value, which is a third longer.
 const maxRowBytes = 65536 * 3 / 4
 
+// maxTxEncodedBytes is the largest transaction that the store takes, with its values in base64.
+const maxTxEncodedBytes = 1_000_000
+
+// tooLarge reports whether the store never takes a transaction.
+func (tx Tx) tooLarge() bool {
+	encoded := 0
+	for _, rw := range tx.Write {
+		if len(rw.Value) > maxRowBytes || len(rw.Key) > maxKeyBytes {
+			return true
+		}
+		encoded += base64.StdEncoding.EncodedLen(len(rw.Value)) + len(rw.Table) + len(rw.Part) + len(rw.Key)
+	}
+	return tx.entryCount() > 100 || encoded > maxTxEncodedBytes
+}
+
 // memStore is an in-memory store, shared by all nodes of a test.
 type memStore struct {
 	mu      sync.Mutex
@@ -36,6 +52,8 @@
 	rows    map[Place]Row
 	history []Row
 	changed chan struct{}
+	// refuses selects the rows that the store never takes. It is nil if there are none.
+	refuses func(Row) bool
 }
 
 func newMemStore() *memStore {
@@ -56,7 +74,7 @@
 	if conflict {
 		return 0, &cf
 	}
-	if tx.entryCount() > 100 || slices.ContainsFunc(tx.Write, func(rw Row) bool { return len(rw.Value) > maxRowBytes || len(rw.Key) > maxKeyBytes }) {
+	if tx.tooLarge() || ms.refuses != nil && slices.ContainsFunc(tx.Write, ms.refuses) {
 		return 0, ErrInvalid
 	}
 	ms.version++
@@ -267,6 +285,8 @@
 	ends      map[cell.WorkerID][]cell.End
 	lastEnd   map[cell.WorkerID]int64
 	starts    map[job.Task]int
+	// fails selects the tasks that fail. It is nil if none does.
+	fails func(job.Task) bool
 	// maxRunning is the greatest number of tasks that ran at the same time.
 	maxRunning int
 }
@@ -304,7 +324,11 @@
 		if time.Now().After(run.ends) {
 			delete(fw.runs[id], tk)
 			fw.lastEnd[id]++
-			fw.ends[id] = append(fw.ends[id], cell.End{Number: fw.lastEnd[id], Task: tk, Attempt: run.attempt, Reason: cell.EndDone})
+			reason := cell.EndDone
+			if fw.fails != nil && fw.fails(tk) {
+				reason = cell.EndFailed
+			}
+			fw.ends[id] = append(fw.ends[id], cell.End{Number: fw.lastEnd[id], Task: tk, Attempt: run.attempt, Reason: reason})
 		}
 	}
 }
@@ -329,7 +353,7 @@
 	}
 	fw.tokens[poll.Worker] = poll.Token
 	fw.ends[poll.Worker] = slices.DeleteFunc(fw.ends[poll.Worker], func(en cell.End) bool { return en.Number <= poll.AckedEnd })
-	result.Ended = slices.Clone(fw.ends[poll.Worker])
+	result.Ended = slices.Clone(fw.ends[poll.Worker][:min(len(fw.ends[poll.Worker]), cell.DefaultMaxListedEnds)])
 	for tk, run := range fw.runs[poll.Worker] {
 		result.Running = append(result.Running, cell.Running{Task: tk, Attempt: run.attempt})
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -71,9 +71,11 @@
 	Store Store
 	// SinglePartTx means that the store does not support transactions over several parts.
 	SinglePartTx bool
-	Workers      Workers
-	Adviser      Adviser
-	Machines     Machines
+	// MaxRowBytes is the maximum number of bytes of a row's value, 0 for the default.
+	MaxRowBytes int
+	Workers     Workers
+	Adviser     Adviser
+	Machines    Machines
 	// MachineOrderRate is how many orders for machines the platform takes a second from all instances, 0 if it states none.
 	MachineOrderRate float64
 	Format           Format
@@ -146,6 +148,9 @@
 // New returns a fleet node.
 func New(options Options) *Fleet {
 	options.Cell = options.Cell.WithDefaults()
+	if options.MaxRowBytes == 0 {
+		options.MaxRowBytes = defaultMaxRowBytes
+	}
 	if options.Sizes == (machine.SizeOptions{}) {
 		options.Sizes = machine.DefaultSizes()
 	}
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -45,8 +45,10 @@
 	Accepted
 	// Refused means that this attempt did not store the job and will not run it.
 	Refused
-	// Foreign means that a job of another organisation has the same id.
+	// OtherOrganisation means that a job of another organisation has the same id.
 	OtherOrganisation
+	// TooLarge means that the job will never be accepted, since the store could not hold its progress.
+	TooLarge
 )
 
 // Errors of job calls.
@@ -150,6 +152,11 @@
 	if hr, known := fl.homes.get(sp.ID); known {
 		return hr.resubmitResult(sp.Organisation), 0
 	}
+	if size := sp.MaxProgressBytes(fl.maxAttempts(sp.Queue)); size > fl.maxProgressBytes() {
+		fl.metrics.refused.Inc(1)
+		fl.logJob(event.JobRefused, sp.ID, zap.String("why", "the store could not hold its progress"), zap.Int("bytes", size), zap.Int("limit", fl.maxProgressBytes()))
+		return TooLarge, 0
+	}
 	if fl.CutOff() || !fl.store.Reachable() && !fl.control.isFresh(fl.opts.Now()) {
 		// No transaction was sent, so the job has not run and will not run.
 		fl.metrics.refused.Inc(1)
@@ -199,6 +206,16 @@
 	return result, fl.outageRetryAfter(sp.ID)
 }
 
+// maxAttempts returns the number of failed attempts after which jobs of a queue fail, 1 if the queue is not known.
+func (fl *Fleet) maxAttempts(id job.QueueID) int {
+	if cf := fl.config.Load(); cf != nil {
+		if qu := cf.Queue(id); qu != nil {
+			return max(1, qu.MaxAttempts)
+		}
+	}
+	return 1
+}
+
 // specForRow returns the spec that the job's row holds. It lacks the payload, which has its own row, once all live instances
 // can read that layout.
 func (fl *Fleet) specForRow(sp *job.Spec) *job.Spec {
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -58,9 +58,13 @@
 	core           *cell.Core
 	events         []func(*cell.Core, time.Time)
 	storedProgress map[job.ID]Row
-	orderQueues    map[cell.WorkerID]*orderQueue
-	relays         *relays
-	quiescing      bool
+	// storedParts holds the rows that the first row of a job's progress names, as far as the job was not read yet.
+	storedParts map[job.ID][][]byte
+	orderQueues map[cell.WorkerID]*orderQueue
+	relays      *relays
+	quiescing   bool
+	// partCounts is the number of such rows that the store has. Only the goroutine that writes uses it.
+	partCounts map[job.ID]int
 	// used is what the store holds of the workers in use. Only the goroutine that writes them uses it until writers is done.
 	used    *usedWorkers
 	writers sync.WaitGroup
@@ -77,7 +81,7 @@
 func newOwner(fl *Fleet, name string, row ownerRow, cancel context.CancelFunc) *owner {
 	ow := &owner{
 		fl: fl, name: name, epoch: row.epoch(), cancel: cancel, done: make(chan struct{}), wakeup: make(chan struct{}, 1),
-		writeQueue: newWriteQueue(), storedProgress: map[job.ID]Row{}, orderQueues: map[cell.WorkerID]*orderQueue{},
+		writeQueue: newWriteQueue(), storedProgress: map[job.ID]Row{}, storedParts: map[job.ID][][]byte{}, partCounts: map[job.ID]int{}, orderQueues: map[cell.WorkerID]*orderQueue{},
 		claimedAt: fl.opts.Now(), used: newUsedWorkers(name),
 	}
 	ow.relays = newRelays(ow)
@@ -169,8 +173,9 @@
 
 func (ow *owner) loadProgress(ctx context.Context) error {
 	rows, err := ow.fl.readPartSince(ctx, tableProgress, ow.name, ow.rowVersion.Load())
+	clear(ow.storedParts)
 	for _, rw := range rows {
-		ow.storedProgress[job.ID(rw.Key)] = rw
+		ow.addStoredProgress(rw)
 	}
 	return err
 }
@@ -217,8 +222,10 @@
 	if !ok {
 		return sj
 	}
+	parts := ow.storedParts[sp.ID]
 	delete(ow.storedProgress, sp.ID)
-	pg, err := job.DecodeProgress(rw.Value)
+	delete(ow.storedParts, sp.ID)
+	pg, err := job.DecodeProgressRows(append([][]byte{rw.Value}, parts...))
 	if err != nil {
 		ow.fl.opts.Log.Emit(event.JobRowRejected, zap.String("cell", ow.name), zap.String("job", string(sp.ID)), zap.Error(err))
 		return sj
--- a/fleet/savestopped_test.go
+++ b/fleet/savestopped_test.go
@@ -12,16 +12,16 @@
 	"github.com/aspenseam/aspenseam/job"
 )
 
-// TestOwnerThatCannotSaveStartsNothing gives an owner progress that is larger than any row may be. It must try once, start nothing
-// more and report its queues as full, and the store must not count as unreachable.
+// TestOwnerThatCannotSaveStartsNothing makes the store refuse a row for ever that is not the progress of a job. The owner must try once, start
+// nothing more and report its queues as full, and the store must not count as unreachable.
 func TestOwnerThatCannotSaveStartsNothing(t *testing.T) {
 	withFakeClock(t, func(ctx context.Context, t *testing.T) {
 		ow, store := startWriter(ctx, t)
 		ow.core.Configure([]job.Queue{{ID: "q", Pool: "pool"}, {ID: "other", Pool: "elsewhere"}})
 		before := store.count()
-		large := &job.Progress{FailedAttempts: map[string][]string{"0.0.0": {strings.Repeat("x", maxRowBytes)}}}
+		large := cell.WorkerRef{ID: "w0", Address: strings.Repeat("x", maxRowBytes)}
 		for range 3 {
-			ow.execute(ctx, cell.Save{Rows: []cell.SaveRow{{ID: "a1", Progress: large}}})
+			ow.execute(ctx, cell.RecordWorkers{Workers: []cell.WorkerRef{large}})
 			time.Sleep(time.Minute)
 		}
 		if got := store.count() - before; got != 1 {
--- a/fleet/usedworkers.go
+++ b/fleet/usedworkers.go
@@ -145,6 +145,13 @@
 	return part
 }
 
+// restore puts back a part that was taken and could not be written.
+func (uc *usedChange) restore(part usedChange) {
+	uc.put = append(slices.Clone(part.put), uc.put...)
+	uc.remove = append(slices.Clone(part.remove), uc.remove...)
+	uc.headOnly = uc.headOnly || part.headOnly
+}
+
 // addTo adds a change to a transaction, and returns the head that it writes.
 func (uw *usedWorkers) addTo(tx *Tx, epoch job.Epoch, uc usedChange) (usedHead, error) {
 	head := usedHead{Epoch: epoch, Number: uw.head.Number + 1, UnseenLossEpoch: uc.unseenLossEpoch}
--- a/fleet/writes.go
+++ b/fleet/writes.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/aspenseam/aspenseam/cell"
 	"github.com/aspenseam/aspenseam/event"
-	"github.com/aspenseam/aspenseam/job"
 	"go.uber.org/zap"
 )
 
@@ -91,7 +91,12 @@
 	if wb.workers != nil {
 		change = ow.used.diff(wb.workers.Workers, wb.workers.UnseenLossEpoch)
 	}
-	for save := wb.save; save != nil || !change.isEmpty(); save = nil {
+	saves := ow.divideSave(wb.save)
+	for len(saves) > 0 || !change.isEmpty() {
+		var save progressSave
+		if len(saves) > 0 {
+			save, saves = saves[0], saves[1:]
+		}
 		if !ow.commitPart(ctx, save, &change) {
 			ow.post(func(cr *cell.Core, _ time.Time) { cr.RecordWorkersFailed() })
 			return
@@ -105,50 +110,38 @@
 	}
 }
 
-// commitPart writes a save, if there is one, and as much of a change of the workers in use as fits beside it.
-func (ow *owner) commitPart(ctx context.Context, save *cell.Save, change *usedChange) bool {
+// commitPart writes a save, unless it is empty, and as much of a change of the workers in use as fits beside it. A save that the
+// store will never take is divided until only the jobs are left that it does not take.
+func (ow *owner) commitPart(ctx context.Context, save progressSave, change *usedChange) bool {
 	tx := Tx{Expect: []Expect{{ow.rowPlace(), ow.rowVersion.Load()}}}
-	err := ow.addProgress(&tx, save)
+	ow.addProgress(&tx, save)
 	var part usedChange
 	var head usedHead
-	if err == nil && !change.isEmpty() {
-		part = change.take(maxTxEntries - usedHeadEntries - tx.entryCount())
-		head, err = ow.used.addTo(&tx, ow.epoch, part)
+	if room := maxTxEntries - usedHeadEntries - tx.entryCount(); !change.isEmpty() && (room > 0 || len(save) == 0) {
+		part = change.take(room)
+		var err error
+		if head, err = ow.used.addTo(&tx, ow.epoch, part); err != nil {
+			ow.fl.opts.Log.Emit(event.SaveFailed, zap.String("cell", ow.name), zap.Error(err))
+			return false
+		}
 	}
-	if err != nil {
-		ow.fl.opts.Log.Emit(event.SaveFailed, zap.String("cell", ow.name), zap.Error(err))
+	version, err := ow.commit(ctx, tx)
+	switch {
+	case errors.Is(err, ErrInvalid) && len(save) > 0:
+		change.restore(part)
+		return ow.commitDivided(ctx, save, err)
+	case errors.Is(err, ErrInvalid):
+		ow.stopSaving(tx, err)
 		return false
-	}
-	version, ok := ow.commit(ctx, tx)
-	if !ok {
+	case err != nil:
 		return false
 	}
 	if head != (usedHead{}) {
 		ow.used.apply(part, head, version)
 		ow.post(func(cr *cell.Core, _ time.Time) { cr.WorkersRecorded(part.put) })
 	}
-	if save != nil {
-		ow.fl.metrics.saves.Inc(1)
-		ow.post(func(cr *cell.Core, now time.Time) { cr.Saved(now, version) })
-	}
+	ow.saved(save, version)
 	return true
 }
 
-// addProgress adds the rows of a save to a transaction.
-func (ow *owner) addProgress(tx *Tx, save *cell.Save) error {
-	if save == nil {
-		return nil
-	}
-	for _, row := range save.Rows {
-		raw, err := job.EncodeProgress(row.Progress)
-		if err != nil {
-			return err
-		}
-		place := Place{tableProgress, ow.name, string(row.ID)}
-		tx.Expect = append(tx.Expect, Expect{place, row.Version})
-		tx.Write = append(tx.Write, Row{Table: place.Table, Part: place.Part, Key: place.Key, Value: raw})
-	}
-	return nil
-}
-
 func (ow *owner) rowPlace() Place { return Place{tableControl, ow.name, ownerKey} }
--- a/job/job.go
+++ b/job/job.go
@@ -44,7 +44,7 @@
 
 // Limits of a job.
 const (
-	// MaxSteps, MaxTasks and MaxRepeats limit the state of a job to what fits in one row.
+	// MaxSteps, MaxTasks and MaxRepeats limit the state of a job, together with MaxProgressBytes.
 	MaxSteps   = 64
 	MaxTasks   = 4096
 	MaxRepeats = 10000
--- a/job/progress.go
+++ b/job/progress.go
@@ -29,6 +29,8 @@
 	Unresolved map[string]map[string]Bitset `json:"open,omitempty"`
 	// Started holds those of the unresolved attempts that their workers are known to have started, in the same form.
 	Started map[string]map[string]Bitset `json:"started,omitempty"`
+	// Parts is the number of rows that hold the progress besides this one, in packed form. All fields but those of the end are empty then.
+	Parts int `json:"parts,omitempty"`
 }
 
 // Losses describes the workers that ended while running a task.
