Rejected progress: a job that has ended since is saved, and workers beside a save do not fail its job

What callers would see: a cancelled job whose earlier progress was being rejected would end all starts of its pool; a job saved in one transaction with a worker whose row the store refuses would be shown as failed.

Cause: SaveRejected looked at the job's present state, not at that of the rejected save; commitDivided did not try a single job without the workers beside it.

Change and tests: the state of the rejected save counts (TestJobThatEndedWhileItsProgressWasRejectedIsSaved); a single job is written alone before it is rejected (TestRefusedWorkerDoesNotFailTheJobsSavedBesideIt).

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -213,8 +213,8 @@
 	}
 }
 
-// mayRunLate reports whether a later incarnation of the worker, which has not listed all its ended attempts yet, may have carried out an order to the former one
-// before a given time, and may still be running the attempt.
+// mayRunLate reports whether a later incarnation of the worker, which has not listed all its ended attempts yet, may have carried out an order to
+// the former one before a given time, and may still be running the attempt.
 func (cr *Core) mayRunLate(now time.Time, id WorkerID, until time.Time) bool {
 	if !id.reusesName() || now.Sub(until) >= maxLateRun {
 		return false
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -306,7 +306,7 @@
 }
 
 // SaveRejected records that the store will never take the progress of a job as it is. The job fails, since the progress of a job that has ended needs
-// hardly any room. SaveRejected returns false if the job has ended already.
+// hardly any room. SaveRejected returns false if the rejected progress was that of a job that has ended.
 func (cr *Core) SaveRejected(now time.Time, id job.ID) bool {
 	at := slices.IndexFunc(cr.pendingSaves, func(sm savedState) bool { return sm.js.spec.ID == id })
 	if at < 0 {
@@ -315,12 +315,16 @@
 	sm := cr.pendingSaves[at]
 	cr.removePendingSave(at)
 	cr.dirtyJobs[id] = sm.js
-	if sm.js.state.Ended() {
+	cr.urgentSave = true
+	if sm.state.Ended() {
 		return false
 	}
+	if sm.js.state.Ended() {
+		// The job has ended since, which is still to be saved.
+		return true
+	}
 	sm.js.state, sm.js.endedAt = job.Failed, now
 	cr.markDirty(sm.js)
-	cr.urgentSave = true
 	cr.opts.Log(Decision{What: "job failed", Task: job.Task{Job: id}, Why: "the store does not take its progress"})
 	return true
 }
--- a/cell/saverejected_test.go
+++ b/cell/saverejected_test.go
@@ -49,6 +49,27 @@
 	}
 }
 
+// Guards against ending the work of the cell because a job was cancelled while its progress was being rejected.
+func TestJobThatEndedWhileItsProgressWasRejectedIsSaved(t *testing.T) {
+	bd := newTestBed(t, 1)
+	bd.addJob("bad", testEpoch, taskStep(2))
+	starts := bd.wantStarts(bd.plan(), 2)
+	bd.answerOrder(starts[0], Done)
+	bd.answerOrder(starts[1], Done)
+	bd.answerPoll(bd.waitForPoll("w0"), nil, []End{bd.newEnd(starts[0], EndFailed)})
+	bd.advance(time.Second)
+	if savedProgress(bd.plan(), "bad") == nil {
+		t.Fatal("the failed attempt is not saved")
+	}
+	bd.core.Cancel(bd.now, "bad")
+	if !bd.core.SaveRejected(bd.now, "bad") {
+		t.Error("the end of the job counts as rejected")
+	}
+	if end := savedProgress(bd.plan(), "bad"); end == nil || end.State != job.Cancelled {
+		t.Errorf("the end of the job is saved as %+v", end)
+	}
+}
+
 // Guards against progress that grows with the number of runs that are late: the open runs of a job have at most as many tasks as one run may have.
 func TestOpenRunsOfAJobAreBounded(t *testing.T) {
 	for tasks, want := range map[int]int{job.MaxTasks: 1, job.MaxTasks/2 + 1: 1, job.MaxTasks / 4: 4, 100: 5} {
--- a/fleet/progressrows.go
+++ b/fleet/progressrows.go
@@ -94,9 +94,10 @@
 	})
 }
 
-// commitDivided writes the jobs of a save that the store does not take one by one. The one that it does not take by itself fails.
-func (ow *owner) commitDivided(ctx context.Context, save progressSave, err error) bool {
-	if len(save) == 1 {
+// commitDivided writes the jobs of a save that the store does not take one by one. The one that it does not take by itself, without
+// workers beside it, fails.
+func (ow *owner) commitDivided(ctx context.Context, save progressSave, withWorkers bool, err error) bool {
+	if len(save) == 1 && !withWorkers {
 		ow.rejectProgress(save[0], err)
 		return true
 	}
--- a/fleet/progressrows_test.go
+++ b/fleet/progressrows_test.go
@@ -177,6 +177,22 @@
 	}
 }
 
+// Guards against failing a job for a row of another kind in the same transaction.
+func TestRefusedWorkerDoesNotFailTheJobsSavedBesideIt(t *testing.T) {
+	withFakeClock(t, func(ctx context.Context, t *testing.T) {
+		ow, store := startWriter(ctx, t)
+		ow.execute(ctx, cell.RecordWorkers{Workers: []cell.WorkerRef{{ID: "w0", Address: strings.Repeat("x", maxRowBytes)}}})
+		ow.execute(ctx, cell.Save{Rows: []cell.SaveRow{{ID: "a1", Progress: wideProgress(2, 1)}}})
+		time.Sleep(time.Minute)
+		if keys := progressKeys(store); !slices.Equal(keys, []string{"a1"}) {
+			t.Errorf("rows %v", keys)
+		}
+		if !ow.savingStopped.Load() {
+			t.Error("the refused worker does not end the saves")
+		}
+	})
+}
+
 // Guards against accepting a job whose progress the store could not hold later.
 func TestJobWhoseProgressCouldOutgrowTheStoreIsRefusedAtOnce(t *testing.T) {
 	fl := New(Options{Name: "one", Store: newSerialStore(1), Machines: noMachines{}, Format: testFormat{}})
--- a/fleet/writes.go
+++ b/fleet/writes.go
@@ -129,7 +129,7 @@
 	switch {
 	case errors.Is(err, ErrInvalid) && len(save) > 0:
 		change.restore(part)
-		return ow.commitDivided(ctx, save, err)
+		return ow.commitDivided(ctx, save, head != (usedHead{}), err)
 	case errors.Is(err, ErrInvalid):
 		ow.stopSaving(tx, err)
 		return false
