First rows of divided progress differ from one another

What callers would see: a task that is done started again, after its owner took a conflict for its own write and acknowledged the end.

Cause: an owner whose write conflicts compares the rows with what it wrote (earlierCommitVersion). The first row of divided progress was {"parts":2} for every save. Found by reading; not seen in a run.

Change: the first row holds a checksum of the parts, which is verified when they are read. TestGarbledPartsAreRejected has a changed byte and two saves whose first rows must differ.

--- a/job/packed.go
+++ b/job/packed.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"maps"
 	"slices"
 	"strconv"
@@ -51,7 +52,7 @@
 		return nil, err
 	}
 	parts := slices.Collect(slices.Chunk(packed, maxRow))
-	head, err := EncodeProgress(&Progress{State: pg.State, EndedAt: pg.EndedAt, Parts: len(parts)})
+	head, err := EncodeProgress(&Progress{State: pg.State, EndedAt: pg.EndedAt, Parts: len(parts), Checksum: crc32.ChecksumIEEE(packed)})
 	return append([][]byte{head}, parts...), err
 }
 
@@ -64,7 +65,11 @@
 	if len(rows) != 1+head.Parts {
 		return nil, fmt.Errorf("%w: %d of %d parts", errPacked, len(rows)-1, head.Parts)
 	}
-	pg, err := unpack(bytes.Join(rows[1:], nil))
+	packed := bytes.Join(rows[1:], nil)
+	if crc32.ChecksumIEEE(packed) != head.Checksum {
+		return nil, fmt.Errorf("%w: the parts are not those that the first row names", errPacked)
+	}
+	pg, err := unpack(packed)
 	if err != nil {
 		return nil, err
 	}
--- a/job/packed_test.go
+++ b/job/packed_test.go
@@ -149,12 +149,17 @@
 		"a part is missing": rows[:len(rows)-1],
 		"a part is twice":   append(rows[:len(rows):len(rows)], rows[1]),
 		"a part is cut":     append(rows[:len(rows)-1:len(rows)-1], rows[len(rows)-1][:1]),
+		"a byte differs":    append([][]byte{rows[0], append([]byte{rows[1][0], rows[1][1] ^ 1}, rows[1][2:]...)}, rows[2:]...),
 		"another version":   append([][]byte{rows[0], append([]byte{9}, rows[1][1:]...)}, rows[2:]...),
 	} {
 		if _, err := DecodeProgressRows(garbled); err == nil {
 			t.Errorf("%s: read without an error", name)
 		}
 	}
+	other, err := EncodeProgressRows(largestProgress(&Spec{Steps: []Step{{Count: 40}}}, 4, 9, rand.New(rand.NewSource(3))), 500)
+	if err != nil || string(other[0]) == string(rows[0]) {
+		t.Errorf("two different saves have the same first row, %v", err)
+	}
 	rnd := rand.New(rand.NewSource(2))
 	for range 2000 {
 		raw, err := pack(pg)
--- a/job/progress.go
+++ b/job/progress.go
@@ -31,6 +31,8 @@
 	Started map[string]map[string]Bitset `json:"started,omitempty"`
 	// Parts is the number of rows that hold the progress besides this one, in packed form. All fields but those of the end are empty then.
 	Parts int `json:"parts,omitempty"`
+	// Checksum is the CRC-32 of what these rows hold. It also tells two first rows apart.
+	Checksum uint32 `json:"checksum,omitempty"`
 }
 
 // Losses describes the workers that ended while running a task.
