Test of a refused worker: its two writes share one batch

Cause: the test wants a worker that the store refuses in the transaction that also saves a job. The writer of the fixture was already running, so that it took the worker alone when it woke up between the two orders; the refused worker then ended all saves, as TestOwnerThatCannotSaveStartsNothing asks, and the job was never written. No fault of the product: the orders came in another order than the test says. Change: newWriter is the fixture without its running writer; both tests of refused rows start the writer once their orders are queued. The checks are unchanged, and TestProgressThatTheStoreRefusesEndsItsJobAlone now always plays the workers beside the refused job.

--- a/fleet/progressrows_test.go
+++ b/fleet/progressrows_test.go
@@ -156,12 +156,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			withFakeClock(t, func(ctx context.Context, t *testing.T) {
-				ow, store := startWriter(ctx, t)
+				ow, store := newWriter(ctx, t)
 				store.mm.refuses = func(rw Row) bool { return rw.Key == "bad" && strings.Contains(string(rw.Value), "failed") }
 				ow.core.Configure([]job.Queue{{ID: "q", Pool: "pool"}})
 				rows := []cell.SaveRow{{ID: "a1", Progress: &job.Progress{State: job.Completed}}, {ID: "bad", Progress: bad}, {ID: "z1", Progress: &job.Progress{State: job.Completed}}}
 				ow.execute(ctx, cell.Save{Rows: rows})
 				ow.execute(ctx, cell.RecordWorkers{Workers: workerRefs("w1", "w2")})
+				go ow.runWrites(ctx)
 				time.Sleep(time.Minute)
 				if keys := progressKeys(store); !slices.Equal(keys, []string{"a1", "z1"}) {
 					t.Errorf("rows %v, want those of the other jobs", keys)
@@ -180,9 +181,10 @@
 // Guards against failing a job for a row of another kind in the same transaction.
 func TestRefusedWorkerDoesNotFailTheJobsSavedBesideIt(t *testing.T) {
 	withFakeClock(t, func(ctx context.Context, t *testing.T) {
-		ow, store := startWriter(ctx, t)
+		ow, store := newWriter(ctx, t)
 		ow.execute(ctx, cell.RecordWorkers{Workers: []cell.WorkerRef{{ID: "w0", Address: strings.Repeat("x", maxRowBytes)}}})
 		ow.execute(ctx, cell.Save{Rows: []cell.SaveRow{{ID: "a1", Progress: wideProgress(2, 1)}}})
+		go ow.runWrites(ctx)
 		time.Sleep(time.Minute)
 		if keys := progressKeys(store); !slices.Equal(keys, []string{"a1"}) {
 			t.Errorf("rows %v", keys)
--- a/fleet/writes_test.go
+++ b/fleet/writes_test.go
@@ -97,6 +97,14 @@
 
 // startWriter starts the writes of a cell's owner on a slow store.
 func startWriter(ctx context.Context, t *testing.T) (*owner, *serialStore) {
+	t.Helper()
+	ow, store := newWriter(ctx, t)
+	go ow.runWrites(ctx)
+	return ow, store
+}
+
+// newWriter returns the owner of a cell on a slow store. Its writes wait until runWrites runs, so that those queued before share a batch.
+func newWriter(ctx context.Context, t *testing.T) (*owner, *serialStore) {
 	t.Helper()
 	store := newSerialStore(60)
 	fl := New(Options{Name: "one", Store: store, Machines: noMachines{}, Format: testFormat{}})
@@ -105,9 +113,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ow := newOwner(fl, "pool", ownerRow{version: version}, func() {})
-	go ow.runWrites(ctx)
-	return ow, store
+	return newOwner(fl, "pool", ownerRow{version: version}, func() {}), store
 }
 
 // storedUsed reads the workers in use of the cell from the store.
