Jobs keep the policy of their queue: a renamed route no longer fails them at the first failed attempt

Cause: an owner keeps the policy of a queue that is gone, but the next owner begins with the configuration in force and never learns it; attempts then count as 1, the priority as the highest, starts as needing no approval. Change: the row of a job holds the queue's policy at its acceptance; an owner that does not know the queue goes by it. Why it holds: the policy is written in the transaction that accepts the job, so who can start the job has read it.

--- a/cell/admission.go
+++ b/cell/admission.go
@@ -206,7 +206,7 @@
 
 // expectedClass returns the class that a job will have when it arrives.
 func (cr *Core) expectedClass(now time.Time, sp *job.Spec) workClass {
-	wc := workClass{priority: cr.queues[sp.Queue].Priority}
+	wc := workClass{priority: cr.queueOf(sp).Priority}
 	if _, known := cr.weights[sp.Organisation]; !known {
 		return wc
 	}
@@ -300,7 +300,7 @@
 
 // workClass returns the class of an accepted job.
 func (js *jobState) workClass() workClass {
-	wc := workClass{priority: js.core.queues[js.spec.Queue].Priority}
+	wc := workClass{priority: js.core.queueOf(js.spec).Priority}
 	if js.overShare {
 		wc.shareClass = 1
 	}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -306,6 +306,14 @@
 	}
 }
 
+// queueOf returns the queue of a job. If it was gone before this owner began, its policy is that of the job's acceptance.
+func (cr *Core) queueOf(sp *job.Spec) job.Queue {
+	if qu, known := cr.queues[sp.Queue]; known {
+		return qu
+	}
+	return sp.FormerQueue()
+}
+
 // SetPausedQueues sets the queues whose jobs are not started. Running tasks continue. The caller must not modify the map afterwards.
 func (cr *Core) SetPausedQueues(queues map[job.QueueID]bool) { cr.pausedQueues = queues }
 
--- a/cell/estimate.go
+++ b/cell/estimate.go
@@ -98,7 +98,7 @@
 // objective returns the time within which a job has to end, counted from objectiveStart.
 func (cr *Core) objective(js *jobState) time.Duration {
 	whole, _ := cr.criticalPath(js)
-	qu := cr.queues[js.spec.Queue]
+	qu := cr.queueOf(js.spec)
 	return time.Duration(qu.Stretch*float64(whole)) + qu.Slack
 }
 
--- a/cell/intent.go
+++ b/cell/intent.go
@@ -81,7 +81,7 @@
 // planAhead creates intents for tasks that have no room yet, so that freed room is not idle for the duration of a write. It only applies to tasks
 // without a known loss, and plans at most half of a worker's room.
 func (cr *Core) planAhead(rd *round, st *step, members []int) {
-	if cr.queues[st.job.spec.Queue].Advice != nil {
+	if cr.queueOf(st.job.spec).Advice != nil {
 		// The permitted workers are known only once the advice service has named them.
 		return
 	}
--- a/cell/place.go
+++ b/cell/place.go
@@ -199,7 +199,7 @@
 		cr.reserveForSuspects(rd, st, len(suspects))
 		return js.waitFor(cr.noRoomReason(rd, st))
 	}
-	if cr.queues[js.spec.Queue].Advice != nil && !cr.ensureTickets(now, st, rd.usable) {
+	if cr.queueOf(js.spec).Advice != nil && !cr.ensureTickets(now, st, rd.usable) {
 		return js.waitFor(WaitTickets)
 	}
 	if st.spec.Gang {
@@ -287,7 +287,7 @@
 
 // feasibleInTurn reports whether a task of the step may be started on a worker once it has its turn there.
 func (cr *Core) feasibleInTurn(now time.Time, st *step, cd *candidate) bool {
-	return cr.suits(now, st, cd) && (cr.queues[st.job.spec.Queue].Advice == nil || st.tickets[cd.info.ID] != "")
+	return cr.suits(now, st, cd) && (cr.queueOf(st.job.spec).Advice == nil || st.tickets[cd.info.ID] != "")
 }
 
 // suits reports whether a worker has room for a task of the step and may run it, if the advice service permits it.
--- a/cell/preempt.go
+++ b/cell/preempt.go
@@ -26,7 +26,7 @@
 	for _, cd := range rd.usable {
 		for _, pl := range cd.placed {
 			if !pl.step.spec.LongRunning {
-				rd.lowestPriority = max(rd.lowestPriority, cr.queues[pl.step.job.spec.Queue].Priority)
+				rd.lowestPriority = max(rd.lowestPriority, cr.queueOf(pl.step.job.spec).Priority)
 			}
 		}
 	}
@@ -35,13 +35,13 @@
 
 // mayPreempt reports whether tasks of lower priorities may be stopped to make room for a step.
 func (cr *Core) mayPreempt(rd *round, st *step) bool {
-	return cr.lowestPriority(rd) > cr.queues[st.job.spec.Queue].Priority && (st.spec.LongRunning || cr.laxity(rd.now, st.job) >= 0)
+	return cr.lowestPriority(rd) > cr.queueOf(st.job.spec).Priority && (st.spec.LongRunning || cr.laxity(rd.now, st.job) >= 0)
 }
 
 // preempt stops tasks of lower priorities to make room for waiting tasks of a step. Long-running tasks have disruption budgets and are not
 // stopped. Gang members are not stopped either, since the whole gang would have to restart.
 func (cr *Core) preempt(rd *round, st *step, waiting int) {
-	priority := cr.queues[st.job.spec.Queue].Priority
+	priority := cr.queueOf(st.job.spec).Priority
 	if rd.preemptingSteps == preemptMaxSteps || !cr.mayPreempt(rd, st) {
 		return
 	}
@@ -103,12 +103,12 @@
 			continue
 		}
 		sp := pl.step.spec
-		if pl.phase == running && !sp.LongRunning && !sp.Gang && !pl.step.job.ended() && !pl.exemptFromStop() && cr.queues[pl.step.job.spec.Queue].Priority > priority {
+		if pl.phase == running && !sp.LongRunning && !sp.Gang && !pl.step.job.ended() && !pl.exemptFromStop() && cr.queueOf(pl.step.job.spec).Priority > priority {
 			lower = append(lower, pl)
 		}
 	}
 	slices.SortStableFunc(lower, func(one, other *placement) int {
-		return cmp.Or(-cmp.Compare(cr.queues[one.step.job.spec.Queue].Priority, cr.queues[other.step.job.spec.Queue].Priority), cmp.Compare(lostWork(one), lostWork(other)))
+		return cmp.Or(-cmp.Compare(cr.queueOf(one.step.job.spec).Priority, cr.queueOf(other.step.job.spec).Priority), cmp.Compare(lostWork(one), lostWork(other)))
 	})
 	for _, pl := range lower {
 		if st.spec.ResourceRequest().Fits(free) {
--- a/cell/rank.go
+++ b/cell/rank.go
@@ -82,7 +82,7 @@
 }
 
 func (cr *Core) rank(now time.Time, js *jobState) ranked {
-	rk := ranked{js: js, priority: cr.queues[js.spec.Queue].Priority}
+	rk := ranked{js: js, priority: cr.queueOf(js.spec).Priority}
 	if js.overShare {
 		rk.shareClass = 1
 	}
--- a/cell/task.go
+++ b/cell/task.go
@@ -447,8 +447,5 @@
 
 // maxAttempts returns the number of failed attempts of one task after which the job fails.
 func (cr *Core) maxAttempts(js *jobState) int {
-	if qu, ok := cr.queues[js.spec.Queue]; ok && qu.MaxAttempts > 0 {
-		return qu.MaxAttempts
-	}
-	return 1
+	return max(1, cr.queueOf(js.spec).MaxAttempts)
 }
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -152,7 +152,8 @@
 	if hr, known := fl.homes.get(sp.ID); known {
 		return hr.resubmitResult(sp.Organisation), 0
 	}
-	if size := sp.MaxProgressBytes(fl.maxAttempts(sp.Queue)); size > fl.maxProgressBytes() {
+	sp.Policy = fl.policy(sp.Queue)
+	if size := sp.MaxProgressBytes(sp.FormerQueue().MaxAttempts); size > fl.maxProgressBytes() {
 		fl.metrics.refused.Inc(1)
 		fl.logJob(event.JobRefused, sp.ID, zap.String("why", "the store could not hold its progress"), zap.Int("bytes", size), zap.Int("limit", fl.maxProgressBytes()))
 		return TooLarge, 0
@@ -206,14 +207,14 @@
 	return result, fl.outageRetryAfter(sp.ID)
 }
 
-// maxAttempts returns the number of failed attempts after which jobs of a queue fail, 1 if the queue is not known.
-func (fl *Fleet) maxAttempts(id job.QueueID) int {
+// policy returns what a queue lays down for its jobs, nil if the queue is not known.
+func (fl *Fleet) policy(id job.QueueID) *job.Policy {
 	if cf := fl.config.Load(); cf != nil {
 		if qu := cf.Queue(id); qu != nil {
-			return max(1, qu.MaxAttempts)
+			return qu.Policy()
 		}
 	}
-	return 1
+	return nil
 }
 
 // specForRow returns the spec that the job's row holds. It lacks the payload, which has its own row, once all live instances
--- a/job/job.go
+++ b/job/job.go
@@ -165,6 +165,20 @@
 	Epoch Epoch `json:"epoch,omitempty"`
 	// Acceptor is the address at which other instances reach the accepting entry instance, which caches the payload for a while.
 	Acceptor string `json:"acceptor,omitempty"`
+	// Policy is the policy of the queue when the job was accepted. It applies once the queue is no longer configured. Rows of former versions
+	// have none.
+	Policy *Policy `json:"policy,omitempty"`
+}
+
+// Policy is what a queue lays down for its jobs. The fields are those of Queue.
+type Policy struct {
+	Host        string        `json:"host,omitempty"`
+	PathPrefix  string        `json:"path,omitempty"`
+	Priority    int           `json:"priority,omitempty"`
+	MaxAttempts int           `json:"maxAttempts,omitempty"`
+	Stretch     float64       `json:"stretch,omitempty"`
+	Slack       time.Duration `json:"slack,omitempty"`
+	Advice      *Advice       `json:"advice,omitempty"`
 }
 
 // RunCount returns how many times the steps run.
@@ -265,6 +279,20 @@
 	Public bool
 }
 
+// Policy returns what the queue lays down for its jobs.
+func (qu *Queue) Policy() *Policy {
+	return &Policy{Host: qu.Host, PathPrefix: qu.PathPrefix, Priority: qu.Priority, MaxAttempts: qu.MaxAttempts, Stretch: qu.Stretch, Slack: qu.Slack, Advice: qu.Advice}
+}
+
+// FormerQueue returns the queue of a job as it was when the job was accepted. It is empty but for its ID if the job's row does not hold it.
+func (sp *Spec) FormerQueue() Queue {
+	qu := Queue{ID: sp.Queue, Pool: sp.Pool}
+	if po := sp.Policy; po != nil {
+		qu.Host, qu.PathPrefix, qu.Priority, qu.MaxAttempts, qu.Stretch, qu.Slack, qu.Advice = po.Host, po.PathPrefix, po.Priority, po.MaxAttempts, po.Stretch, po.Slack, po.Advice
+	}
+	return qu
+}
+
 // Pool is the set of machines of a service.
 type Pool struct {
 	ID PoolID
