Pending jobs of a moved or renamed route are counted

Cause: the count was asked of the owner of the pool that the route names now, for its present name; the jobs wait in the cell and under the name they were accepted by. Change: the cells of the route's former pools are asked, too. Instances learn of them from the configurations that they see and from the rows of the owners, which list moved queues with pending jobs. A job of a queue that is gone counts for the one with its host and path. Why it holds: an instance adds the former cell before it applies the configuration, each job is in one cell, and where no route has moved nothing more is asked or written.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -83,6 +83,8 @@
 	// superseded is set once another owner has been seen. No more orders are given then.
 	superseded bool
 	queues     map[job.QueueID]job.Queue
+	// configured are the queues of the configuration in force.
+	configured map[job.QueueID]job.Queue
 	// pausedQueues are the queues whose jobs are not started.
 	pausedQueues map[job.QueueID]bool
 	jobs         map[job.ID]*jobState
@@ -301,8 +303,9 @@
 
 // Configure sets the queues. Queues that are gone keep their last policy for the jobs that they have accepted.
 func (cr *Core) Configure(queues []job.Queue) {
+	cr.configured = make(map[job.QueueID]job.Queue, len(queues))
 	for _, qu := range queues {
-		cr.queues[qu.ID] = qu
+		cr.queues[qu.ID], cr.configured[qu.ID] = qu, qu
 	}
 }
 
@@ -400,13 +403,46 @@
 func (cr *Core) Pending(queue job.QueueID) int {
 	count := 0
 	for _, js := range cr.openJobs {
-		if js.spec.Queue == queue && !js.begun && !js.cancelled && !js.state.Ended() {
+		if js.isPending() && (js.spec.Queue == queue || cr.currentQueue(js.spec).ID == queue) {
 			count++
 		}
 	}
 	return count
 }
 
+// MovedQueues returns the queues with pending jobs here that the configuration sends to another pool.
+func (cr *Core) MovedQueues() []job.QueueID {
+	var ids []job.QueueID
+	for _, js := range cr.openJobs {
+		if !js.isPending() {
+			continue
+		}
+		if qu := cr.currentQueue(js.spec); qu.ID != "" && qu.Pool != cr.pool && !slices.Contains(ids, qu.ID) {
+			ids = append(ids, qu.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// isPending reports whether no task of an open job has started.
+func (js *jobState) isPending() bool { return !js.begun && !js.cancelled && !js.state.Ended() }
+
+// currentQueue returns the configured queue under which callers find a job: its own, or if that is gone, the one with the same host and path.
+// It is empty if there is none.
+func (cr *Core) currentQueue(sp *job.Spec) job.Queue {
+	if qu, known := cr.configured[sp.Queue]; known {
+		return qu
+	}
+	former := cr.queueOf(sp)
+	for _, qu := range cr.configured {
+		if former.PathPrefix != "" && qu.Host == former.Host && qu.PathPrefix == former.PathPrefix {
+			return qu
+		}
+	}
+	return job.Queue{}
+}
+
 // Archivable returns ended jobs whose end is saved and that are still in the table of open jobs.
 func (cr *Core) Archivable(most int) []job.ID {
 	var ids []job.ID
--- a/cell/formerqueue_test.go
+++ b/cell/formerqueue_test.go
@@ -62,3 +62,29 @@
 		t.Errorf("%s starts before the job of the higher priority", st.Task.Job)
 	}
 }
+
+// Guards against pending jobs that nobody counts since their queue has another name or pool.
+func TestPendingJobsOfAQueueThatIsGoneCountForItsSuccessor(t *testing.T) {
+	policy := &job.Policy{Host: "h", PathPrefix: "/q/", MaxAttempts: 1}
+	for name, tc := range map[string]struct {
+		queue   job.Queue
+		pending int
+		moved   bool
+	}{
+		"renamed":           {job.Queue{ID: "new", Host: "h", PathPrefix: "/q/", Pool: testPool}, 1, false},
+		"renamed and moved": {job.Queue{ID: "new", Host: "h", PathPrefix: "/q/", Pool: "elsewhere"}, 1, true},
+		"moved":             {job.Queue{ID: "gone", Host: "h", PathPrefix: "/other/", Pool: "elsewhere"}, 1, true},
+		"another path":      {job.Queue{ID: "new", Host: "h", PathPrefix: "/other/", Pool: "elsewhere"}, 0, false},
+		"another host":      {job.Queue{ID: "new", Host: "other", PathPrefix: "/q/", Pool: testPool}, 0, false},
+	} {
+		bd := newTestBed(t, 1)
+		bd.addFormerJob("j", policy)
+		bd.core.Configure([]job.Queue{tc.queue})
+		if got := bd.core.Pending(tc.queue.ID); got != tc.pending {
+			t.Errorf("%s: %d pending jobs, want %d", name, got, tc.pending)
+		}
+		if got := len(bd.core.MovedQueues()) > 0; got != tc.moved {
+			t.Errorf("%s: reported as moved: %t", name, got)
+		}
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -122,7 +122,7 @@
 	claiming    map[string]bool
 	workerCache *workerCache
 	intakes     [homePartCount]*intake
-	pending     pendingCache
+	pending     pendingCounts
 	homes       homeCache
 	payloads    *payloadCache
 	fullQueues  fullQueueSet
@@ -265,6 +265,9 @@
 		if old != nil && old.Version >= cf.Version {
 			return
 		}
+		if old != nil {
+			fl.pending.addMoves(old, cf)
+		}
 		if fl.config.CompareAndSwap(old, cf) {
 			break
 		}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -28,6 +29,8 @@
 	Leaving bool    `json:"leaving,omitempty"`
 	// Layout is the newest row layout that the instance can read.
 	Layout int `json:"layout,omitempty"`
+	// Moved lists the queues with pending jobs in cells of the instance that the configuration sends to other cells.
+	Moved []queueInCell `json:"moved,omitempty"`
 }
 
 // layoutSeparatePayloads is the layout in which payloads are stored separately from jobs. An instance that reads only older
@@ -99,7 +102,7 @@
 		case rw.Key == ownerKey:
 			fl.applyOwner(rw)
 		case strings.HasPrefix(rw.Key, nodePrefix):
-			fl.members.applyNode(rw)
+			fl.pending.addFormerCells(fl.members.applyNode(rw).Moved...)
 		case strings.HasPrefix(rw.Key, heartbeatPrefix):
 			fl.members.applyHeartbeat(rw)
 		case strings.HasPrefix(rw.Key, drainPrefix):
@@ -123,14 +126,14 @@
 	}
 }
 
-// applyNode applies the row of an entry instance. An instance that ran another software version may have left an older row in
-// another part.
-func (mb *members) applyNode(rw Row) {
+// applyNode applies and returns the row of an entry instance, which is empty if there is none any more. An instance that ran another
+// software version may have left an older row in another part.
+func (mb *members) applyNode(rw Row) node {
 	name := strings.TrimPrefix(rw.Key, nodePrefix)
 	mb.mu.Lock()
 	defer mb.mu.Unlock()
 	if rw.Version < mb.versions[name] {
-		return
+		return node{}
 	}
 	mb.versions[name] = rw.Version
 	var nd node
@@ -141,9 +144,10 @@
 	if rw.Deleted || err != nil {
 		delete(mb.nodes, name)
 		delete(mb.nodeSeenAt, name)
-		return
+		return node{}
 	}
 	mb.nodes[name], mb.nodeSeenAt[name] = nd, mb.now()
+	return nd
 }
 
 // applyHeartbeat applies the heartbeat row of an entry instance. Its content does not matter.
@@ -286,7 +290,7 @@
 	for count := int64(1); ctx.Err() == nil; count++ {
 		nd := fl.ownNode()
 		rw, err := heartbeatRow(fl.opts.Name, count), error(nil)
-		if nd != written {
+		if !reflect.DeepEqual(nd, written) {
 			rw, err = nd.row()
 		}
 		if err == nil {
@@ -305,7 +309,7 @@
 
 // ownNode returns the row of this instance.
 func (fl *Fleet) ownNode() node {
-	return node{Name: fl.opts.Name, Address: fl.opts.Address, Hall: fl.opts.Hall, Incarnation: fl.opts.Incarnation, Power: fl.opts.Power, Layout: layoutSeparatePayloads, Leaving: fl.stopping.Load()}
+	return node{Name: fl.opts.Name, Address: fl.opts.Address, Hall: fl.opts.Hall, Incarnation: fl.opts.Incarnation, Power: fl.opts.Power, Layout: layoutSeparatePayloads, Leaving: fl.stopping.Load(), Moved: fl.movedQueues()}
 }
 
 // row returns the row as it is stored.
