--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -112,7 +112,7 @@
 	ls.task.lateStart = ls
 	cr.lateStarts = append(cr.lateStarts, ls)
 	for _, wk := range cr.incarnations(ls.name) {
-		if wk != pl.worker && wk.fenced && wk.settled {
+		if wk != pl.worker && wk.fenced && wk.endsKnown {
 			cr.resolveLateStarts(ls.name, cr.token(wk))
 		}
 	}
@@ -196,7 +196,7 @@
 		}
 	}
 	for _, next := range cr.incarnations(wk.name) {
-		if next != wk && next.settledOnce {
+		if next != wk && next.endsKnownOnce {
 			resolveAt = now
 		}
 	}
@@ -220,7 +220,7 @@
 		return false
 	}
 	for _, wk := range cr.incarnations(id.Name()) {
-		if wk.info.ID != id && wk.registered && !wk.settledOnce {
+		if wk.info.ID != id && wk.registered && !wk.endsKnownOnce {
 			return true
 		}
 	}
--- a/cell/orderresult.go
+++ b/cell/orderresult.go
@@ -71,7 +71,7 @@
 			cr.release(now, pl, "superseded by a newer token of this owner")
 		}
 	case AttemptEnded:
-		if wk.endsCut || !wk.settled {
+		if wk.endsCut || !wk.endsKnown {
 			// The worker may not have listed that end yet, and the task may be done.
 			cr.settleByPoll(now, wk, pl)
 			return
--- a/cell/pollresult.go
+++ b/cell/pollresult.go
@@ -53,8 +53,8 @@
 	cr.link.recordAnswer(pr.Received)
 	wk.endsCut = len(pr.Ended) >= cr.opts.MaxListedEnds
 	// Attempts of jobs that were read before the worker's first answer, or while its polls failed, are unresolved until an answer lists all ends.
-	wk.settled = wk.settled && wk.fenced && wk.failedPolls == 0
-	settles := !wk.settled && !wk.endsCut
+	wk.endsKnown = wk.endsKnown && wk.fenced && wk.failedPolls == 0
+	settles := !wk.endsKnown && !wk.endsCut
 	wk.failedPolls, wk.polledAt, wk.aliveAt = 0, pr.Received, latest(wk.aliveAt, pr.Sent)
 	wk.nextPoll = now.Add(cr.opts.PollInterval)
 	wk.confirmedAck = max(wk.confirmedAck, pr.AckedEnd)
@@ -99,7 +99,7 @@
 		cr.awaitFurtherEnds(now, wk)
 	}
 	if settles {
-		wk.settled, wk.settledOnce = true, true
+		wk.endsKnown, wk.endsKnownOnce = true, true
 		cr.clearUnresolved(wk.info.ID)
 	}
 	if settles || !wk.recorded && !wk.endsCut {
--- a/cell/unresolved.go
+++ b/cell/unresolved.go
@@ -70,7 +70,7 @@
 			for at := range st.tasks {
 				for _, id := range slices.Clone(st.tasks[at].losses.unresolved) {
 					// A worker is missing from the stored list only if its loss was saved for all jobs concerned.
-					if wk := cr.workers[id]; wk == nil || wk.fenced && wk.settled && wk.failedPolls == 0 {
+					if wk := cr.workers[id]; wk == nil || wk.fenced && wk.endsKnown && wk.failedPolls == 0 {
 						st.tasks[at].losses.resolve(id)
 						cr.markDirty(js)
 					}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -102,13 +102,13 @@
 	fenced bool
 	// fencedAt is when the worker first answered a poll with a token of this owner.
 	fencedAt time.Time
-	// endsCut means that the newest answer listed as many ended attempts as it may, so that there may be more. settled means that an answer has listed
-	// all of them since the worker was added, its leases expired or a poll failed, settledOnce that one ever has.
-	endsCut, settled, settledOnce bool
-	polling                       bool
-	pollToken                     Token
-	nextPoll                      time.Time
-	polledAt                      time.Time
+	// endsCut means that the newest answer listed as many ended attempts as it may, so that there may be more. endsKnown means that an answer has listed
+	// all of them since the worker was added, its leases expired or a poll failed, endsKnownOnce that one ever has.
+	endsCut, endsKnown, endsKnownOnce bool
+	polling                           bool
+	pollToken                         Token
+	nextPoll                          time.Time
+	polledAt                          time.Time
 	// aliveAt is when the newest answered poll was sent, at which time the worker was alive. The answer may have waited for a stalled owner.
 	aliveAt     time.Time
 	failedPolls int
--- a/fleet/jobstate.go
+++ b/fleet/jobstate.go
@@ -139,6 +139,17 @@
 	return fl.peers.jobState(ctx, name, id)
 }
 
+// jobStatus returns a job's state if this owner has the job in memory.
+func (ow *owner) jobStatus(id job.ID) (jobStatus, bool) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if ow.lost.Load() {
+		return jobStatus{}, false
+	}
+	st, known := ow.core.State(id)
+	return jobStatus{st, ow.core.Organisation(id)}, known
+}
+
 // storedState derives the state of an existing job from its stored rows.
 func (fl *Fleet) storedState(ctx context.Context, name string, id job.ID) (job.State, error) {
 	rw, started, err := fl.readRow(ctx, Place{tableProgress, name, string(id)})
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -466,24 +466,3 @@
 	defer ow.mu.Unlock()
 	return ow.planned && ow.core.TakeoverComplete() && !ow.core.HoldsUnreached() && now.Sub(ow.claimedAt) > cellMoveInterval && (evenIfWaiting || !ow.core.HasPending(now))
 }
-
-// jobStatus returns a job's state if this owner has the job in memory.
-func (ow *owner) jobStatus(id job.ID) (jobStatus, bool) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	if ow.lost.Load() {
-		return jobStatus{}, false
-	}
-	st, known := ow.core.State(id)
-	return jobStatus{st, ow.core.Organisation(id)}, known
-}
-
-// pending returns the number of a queue's jobs that have not started, or false if the cell is not loaded.
-func (ow *owner) pending(queue job.QueueID) (int, bool) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	if !ow.jobs.loaded() || ow.lost.Load() || len(ow.events) > 0 && !ow.planned {
-		return 0, false
-	}
-	return ow.core.Pending(queue), true
-}
--- a/fleet/pending.go
+++ b/fleet/pending.go
@@ -135,6 +135,16 @@
 	return count, nil
 }
 
+// pending returns the number of a queue's jobs that have not started, or false if the cell is not loaded.
+func (ow *owner) pending(queue job.QueueID) (int, bool) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if !ow.jobs.loaded() || ow.lost.Load() || len(ow.events) > 0 && !ow.planned {
+		return 0, false
+	}
+	return ow.core.Pending(queue), true
+}
+
 // movedQueues returns the queues with pending jobs in the cells owned here that the configuration sends elsewhere.
 func (fl *Fleet) movedQueues() []queueInCell {
 	var list []queueInCell
--- a/fleet/pending_test.go
+++ b/fleet/pending_test.go
@@ -33,20 +33,14 @@
 		}
 	}
 	counted(testQueue)
-	moved := testQueue
+	moved, renamed, back := testQueue, testQueue, testQueue
 	moved.Pool = "other"
-	format.configure(cl, moved, nodes...)
-	counted(moved)
-	nodes = append(nodes, cl.start("three"))
-	counted(moved)
-	renamed := moved
-	renamed.ID = "renamed"
-	format.configure(cl, renamed, nodes...)
-	counted(renamed)
-	nodes = append(nodes, cl.start("four"))
-	counted(renamed)
-	back := renamed
-	back.Pool = "pool"
-	format.configure(cl, back, nodes...)
-	counted(back)
+	renamed.ID, renamed.Pool = "renamed", "other"
+	back.ID = "renamed"
+	for _, qu := range []job.Queue{moved, renamed, back} {
+		format.configure(cl, qu, nodes...)
+		counted(qu)
+		nodes = append(nodes, cl.start("new of "+string(qu.ID)+string(qu.Pool)))
+		counted(qu)
+	}
 }
