--- a/job/job.go
+++ b/job/job.go
@@ -254,10 +254,10 @@
 // Advice configures the approval of a queue's placements by the advice service.
 type Advice struct {
 	// DecisionTime is the base time that an answer takes. PerWorkerTime is added for each worker in the request.
-	DecisionTime  time.Duration
-	PerWorkerTime time.Duration
+	DecisionTime  time.Duration `json:"decisionTime,omitempty"`
+	PerWorkerTime time.Duration `json:"perWorkerTime,omitempty"`
 	// ValidFor is how long a ticket is valid.
-	ValidFor time.Duration
+	ValidFor time.Duration `json:"validFor,omitempty"`
 }
 
 // Queue accepts jobs of one kind from callers.
