Job that stands is logged by itself, with its time by reason (event 855); planned and silent workers in event 852

Cause: event 852 names eight jobs of a reason and a second, so for one job the logs could not tell why it stands, nor a start that is planned for a full worker from a pool without room, nor which silent worker keeps the jobs of former owners. Change: event 855 at 3, 6, 12 and 24 s of a wait and when it is over, with the seconds by reason and the planned worker, at most eight a second and cell, the others counted; reason plannedWorker; the last unresolved worker and its longest wait, the machine limit and the used share of the usable workers in event 852. No decision changes: the samples are taken once a second, where the groups are. Tests: TestStandOfOneJobIsReportedByReason, TestReportsOfSingleJobsAreBounded, TestJobThatWaitsForItsPlannedWorkerIsToldFromWantOfRoom.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -161,13 +161,17 @@
 	demandAt time.Time
 	// admission is the account that new jobs are admitted by.
 	admission admissionAccount
-	// roundUsable is the number of workers that accepted tasks in the newest round of placement, roundRoom their free room at its start.
+	// roundUsable is the number of workers that accepted tasks in the newest round of placement, roundRoom their free room at its start and
+	// roundShare the used share of their room.
 	roundUsable int
 	roundRoom   job.Size
+	roundShare  float64
 	// roundSkipped is why the newest plan had no round of placement, or empty. waits are the waiting jobs found at waitsReportedAt.
 	roundSkipped    WaitReason
 	waits           []Wait
 	waitsReportedAt time.Time
+	// standReports is the number of jobs reported by themselves since the last sample, standsOmitted the number of those left out.
+	standReports, standsOmitted int
 }
 
 // savedState is the generation and state of a job that a save contains.
--- a/cell/options.go
+++ b/cell/options.go
@@ -56,6 +56,8 @@
 	LossCount int
 	// Wait is set in reports of waiting jobs.
 	Wait *Wait
+	// Stand is set in reports of one job that has stood for long.
+	Stand *Stand
 }
 
 // Defaults of the options.
--- a/cell/place.go
+++ b/cell/place.go
@@ -386,6 +386,7 @@
 		cd.recentStarts.add(cr, now, now, st.job)
 	}
 	cd.free = cd.free.Sub(pl.room)
+	cr.endStand(now, st.job)
 	st.job.started = true
 	wk.busyAt = now
 	until := cr.leaseUntil(wk, now)
--- a/cell/round.go
+++ b/cell/round.go
@@ -69,7 +69,7 @@
 	}
 	cr.findRecentStarts(rd)
 	cr.reserveIntents(rd)
-	cr.roundUsable, cr.roundRoom = len(rd.usable), free
+	cr.roundUsable, cr.roundRoom, cr.roundShare = len(rd.usable), free, rd.utilization()
 	return rd
 }
 
--- a/cell/task.go
+++ b/cell/task.go
@@ -58,6 +58,8 @@
 	// idleAt is when an attempt of the job was last over. waitReason is why the newest round left a task of the job waiting.
 	idleAt     time.Time
 	waitReason WaitReason
+	// stand is how the job has waited since it last had something running; nil until the first report.
+	stand *Stand
 }
 
 // run is one execution of all steps of a job.
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -41,6 +41,8 @@
 	WaitStartWindow WaitReason = "startWindow"
 	// WaitNoRoom: no worker on which the task may run has room.
 	WaitNoRoom WaitReason = "noRoom"
+	// WaitPlannedWorker: the start is planned for a worker that has no room, and another one has.
+	WaitPlannedWorker WaitReason = "plannedWorker"
 	// WaitTurn: workers have room, but their new starts are left to other jobs, since the queue of one of them crashes workers.
 	WaitTurn WaitReason = "turn"
 	// WaitMakingRoom: no worker has room, and the task may get it from tasks of lower priorities or waits for a worker that is kept free for it.
@@ -71,7 +73,7 @@
 
 // WaitReasons lists all reasons.
 var WaitReasons = []WaitReason{
-	WaitAtLimit, WaitNoAllowance, WaitUnresolved, WaitUnconfirmed, WaitNoWorker, WaitStartWindow, WaitNoRoom, WaitTurn, WaitMakingRoom, WaitMachineLimit, WaitLossUnconfirmed,
+	WaitAtLimit, WaitNoAllowance, WaitUnresolved, WaitUnconfirmed, WaitNoWorker, WaitStartWindow, WaitNoRoom, WaitPlannedWorker, WaitTurn, WaitMakingRoom, WaitMachineLimit, WaitLossUnconfirmed,
 	WaitLossLimit, WaitBackoff, WaitLateStart, WaitIntent, WaitTickets, WaitOwnWorker, WaitGang, WaitPaused, WaitNotTried,
 }
 
@@ -88,7 +90,10 @@
 	Limit LimitState
 	// Unresolved is the number of unresolved workers.
 	Unresolved int
-	Pool       PoolState
+	// LastUnresolved is the worker for which jobs of earlier owners wait longest, and UnresolvedFor how long from now.
+	LastUnresolved WorkerID
+	UnresolvedFor  time.Duration
+	Pool           PoolState
 }
 
 // PoolState is what one cell knows of its workers.
@@ -99,6 +104,10 @@
 	// Usable is the number of workers that accepted tasks in the newest round of placement, and Free their free room at its start.
 	Usable int
 	Free   job.Size
+	// MachineLimit is the number of machines that the pool may keep while other pools lack some, or 0, and UsableShare the used share of the
+	// room of the usable workers.
+	MachineLimit int
+	UsableShare  float64
 }
 
 // LimitState is what one cell knows of the limit of an organisation.
@@ -130,6 +139,7 @@
 	}
 	cr.waitsReportedAt = now
 	cr.waits = cr.findWaits(now)
+	cr.reportStands(now)
 	for _, wt := range cr.waits {
 		cr.opts.Log(Decision{What: "jobs wait", Task: job.Task{Job: wt.Jobs[0]}, Why: string(wt.Reason), Wait: &wt})
 	}
@@ -144,7 +154,7 @@
 	var list []Wait
 	pool := cr.poolState(now)
 	for key, members := range groups {
-		list = append(list, cr.describeWait(key, members, pool))
+		list = append(list, cr.describeWait(now, key, members, pool))
 	}
 	slices.SortFunc(list, func(one, other Wait) int {
 		return cmp.Or(cmp.Compare(other.Longest, one.Longest), cmp.Compare(one.Reason, other.Reason), cmp.Compare(one.Organisation, other.Organisation))
@@ -170,11 +180,12 @@
 }
 
 // describeWait describes a group of waiting jobs.
-func (cr *Core) describeWait(key waitKey, members []waitingJob, pool PoolState) Wait {
+func (cr *Core) describeWait(now time.Time, key waitKey, members []waitingJob, pool PoolState) Wait {
 	slices.SortFunc(members, func(one, other waitingJob) int {
 		return cmp.Or(cmp.Compare(other.span, one.span), cmp.Compare(one.id, other.id))
 	})
 	wt := Wait{Reason: key.reason, Organisation: key.organisation, Longest: members[0].span, Count: len(members), Unresolved: len(cr.unresolved), Pool: pool}
+	wt.LastUnresolved, wt.UnresolvedFor = cr.lastUnresolved(now)
 	if key.organisation != "" {
 		wt.Limit = cr.ledger.limitState(key.organisation)
 	}
@@ -186,7 +197,10 @@
 
 // poolState returns what the cell knows of its workers.
 func (cr *Core) poolState(now time.Time) PoolState {
-	ps := PoolState{Usable: cr.roundUsable, Free: cr.roundRoom}
+	ps := PoolState{Usable: cr.roundUsable, Free: cr.roundRoom, UsableShare: cr.roundShare}
+	if now.Before(cr.machineLimitUntil) {
+		ps.MachineLimit = cr.machineLimit
+	}
 	for _, wk := range cr.sortedWorkers {
 		if wk.registered && !cr.leaving(now, wk) {
 			ps.Workers++
@@ -258,6 +272,9 @@
 
 // unplacedReason returns why a step waits that no worker could take a task of.
 func (cr *Core) unplacedReason(rd *round, st *step) WaitReason {
+	if cr.waitsForPlannedWorker(rd, st) {
+		return WaitPlannedWorker
+	}
 	if cr.mayMakeRoom(rd, st) {
 		return WaitMakingRoom
 	}
@@ -270,6 +287,16 @@
 	return WaitNoRoom
 }
 
+// waitsForPlannedWorker reports whether a start of the step is planned for a worker while another one could take it.
+func (cr *Core) waitsForPlannedWorker(rd *round, st *step) bool {
+	for at := range st.tasks {
+		if in := st.tasks[at].intent; in != nil && in.planned {
+			return cr.bestCandidate(rd.now, st, at, rd.usable) != nil
+		}
+	}
+	return false
+}
+
 // mayMakeRoom reports whether a step may get room from running tasks. Only steps that their organisation's limit allows to start get it.
 func (cr *Core) mayMakeRoom(rd *round, st *step) bool {
 	return st.spec.LongRunning || cr.mayPreempt(rd, st)
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -126,6 +126,10 @@
 		fl.opts.Log.Emit(event.JobsWait, append(fields, waitFields(dc.Wait)...)...)
 		return
 	}
+	if dc.Stand != nil {
+		fl.opts.Log.Emit(event.JobStands, append(fields, standFields(dc.Stand)...)...)
+		return
+	}
 	fl.opts.Log.Emit(event.CellDecided, fields...)
 }
 
@@ -134,7 +138,10 @@
 	fields := []zap.Field{zap.Duration("longest", wt.Longest), zap.Int("count", wt.Count), zap.Any("jobs", wt.Jobs),
 		zap.Int("workers", wt.Pool.Workers), zap.Int("usable", wt.Pool.Usable), zap.Any("room", wt.Pool.Room), zap.Any("taken", wt.Pool.Used), zap.Any("free", wt.Pool.Free)}
 	if wt.Unresolved > 0 {
-		fields = append(fields, zap.Int("unresolved", wt.Unresolved))
+		fields = append(fields, zap.Int("unresolved", wt.Unresolved), zap.String("lastUnresolved", string(wt.LastUnresolved)), zap.Duration("unresolvedFor", wt.UnresolvedFor))
+	}
+	if wt.Pool.MachineLimit > 0 {
+		fields = append(fields, zap.Int("machineLimit", wt.Pool.MachineLimit), zap.Float64("usableShare", wt.Pool.UsableShare))
 	}
 	if wt.Organisation == "" {
 		return fields
@@ -143,6 +150,18 @@
 		zap.Any("elsewhere", wt.Limit.Elsewhere), zap.Any("maximum", wt.Limit.Maximum), zap.Int("competing", wt.Limit.Competing))
 }
 
+// standFields returns the log fields of one job that stands.
+func standFields(sd *cell.Stand) []zap.Field {
+	fields := []zap.Field{zap.Duration("stood", sd.Stood), zap.Any("spans", sd.Spans)}
+	if sd.Planned != "" {
+		fields = append(fields, zap.String("planned", string(sd.Planned)))
+	}
+	if sd.Omitted > 0 {
+		fields = append(fields, zap.Int("omitted", sd.Omitted))
+	}
+	return fields
+}
+
 // registerWaitGauges registers, for each reason, the longest wait of a job in the cells that this instance owns, in milliseconds.
 func (fl *Fleet) registerWaitGauges(rg metrics.Registry) {
 	for _, reason := range cell.WaitReasons {
