--- a/cell/wait.go
+++ b/cell/wait.go
@@ -289,6 +289,9 @@
 
 // waitsForPlannedWorker reports whether a start of the step is planned for a worker while another one could take it.
 func (cr *Core) waitsForPlannedWorker(rd *round, st *step) bool {
+	if rd.cannotFit(st.spec.ResourceRequest()) {
+		return false
+	}
 	for at := range st.tasks {
 		if in := st.tasks[at].intent; in != nil && in.planned {
 			return cr.bestCandidate(rd.now, st, at, rd.usable) != nil
