Late job with nothing running yields for two seconds at most while most of its pool is free

What callers saw: accepted jobs of one organisation and pool with nothing running for 8 to 16 s, one owner, under half of the pool in use, "move later" as the backlog goes. Cause: while machines are short late jobs may use 0.6 of the room of the workers that accept tasks at the moment. With many that do not (cold, silent, about to move) a few tasks fill that share, though the pool is nearly empty. Packed late jobs keep to as many workers as the limit says, however many there are. Change: after two seconds with nothing running such a job may start a task, as long as less than 0.6 of the whole pool is in use. One task makes it yield again, so machines still become free. Result: TestLateJobsStandInAHalfEmptyPool failed before in two of four cases and passes; in a pool mostly in use late jobs wait as before.

--- a/cell/machinelimit.go
+++ b/cell/machinelimit.go
@@ -13,6 +13,9 @@
 	machineLimitTTL = time.Second
 	// lateShareMin is the share of the room that late jobs may use in any case unless they are packed, so that they make progress.
 	lateShareMin = 0.6
+	// maxIdleYield is how long a late job with nothing running leaves machines to other pools while less than lateShareMin of its pool is in use.
+	// Users ask that no job stands for 3 s in a pool that is less than half in use.
+	maxIdleYield = 2 * time.Second
 )
 
 // LimitMachines sets the number of machines for this pool while there are too few for all pools. The limit is firm if another pool has fewer
@@ -32,6 +35,9 @@
 	if !cr.packLate || st.tasks[at].losses.suspected() || !rd.now.Before(cr.machineLimitUntil) || len(rd.usable) <= cr.machineLimit || js.spec.Steps[0].LongRunning || cr.laxity(rd.now, js) >= 0 {
 		return false
 	}
+	if cr.hasYielded(rd, js) {
+		return false
+	}
 	if rd.kept == nil {
 		rd.kept = cr.keptWorkers(rd)
 	}
@@ -72,13 +78,23 @@
 	if !cr.machineLimitFirm && cr.packed(rd, st, at) {
 		return false
 	}
-	return rd.utilization() > max(lateShareMin, float64(cr.machineLimit)/float64(len(rd.usable)))
+	return rd.utilization() > max(lateShareMin, float64(cr.machineLimit)/float64(len(rd.usable))) && !cr.hasYielded(rd, js)
+}
+
+// hasYielded reports whether a job has had nothing running for maxIdleYield although most of its pool is free. The pool includes the workers that accept
+// no tasks at present, unlike the room that deferred looks at: with many of those a few tasks fill the rest. One task is enough for the job to yield again.
+func (cr *Core) hasYielded(rd *round, js *jobState) bool {
+	since, idle := cr.idleSince(rd.now, js)
+	return idle && rd.now.Sub(since) >= maxIdleYield && shareOf(rd.used, rd.poolRoom) < lateShareMin
 }
 
 // utilization returns the used share of the room of the usable workers, by the scarcer resource. Room that is not counted on at present, since a
 // registration is old or a worker cold, is not in use.
-func (rd *round) utilization() float64 {
-	return max(fraction(rd.used.CPUMillis, rd.room.CPUMillis), fraction(rd.used.MemoryMB, rd.room.MemoryMB))
+func (rd *round) utilization() float64 { return shareOf(rd.used, rd.room) }
+
+// shareOf returns the used share of a room, by the scarcer resource.
+func shareOf(used, room job.Size) float64 {
+	return max(fraction(used.CPUMillis, room.CPUMillis), fraction(used.MemoryMB, room.MemoryMB))
 }
 
 // fullQueues returns the queues whose new jobs cannot be served at present: with the machine limit, the work that can still meet its objective
--- a/cell/round.go
+++ b/cell/round.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"iter"
 	"time"
 
 	"github.com/aspenseam/aspenseam/job"
@@ -50,8 +51,8 @@
 	suspectsWaiting, useIdle bool
 	// quarantinedBefore is the value of quarantined at the start of the round.
 	quarantinedBefore int
-	// used and room are totals over the usable workers.
-	used, room job.Size
+	// used and room are totals over the usable workers, poolRoom over all registered ones that are not leaving.
+	used, room, poolRoom job.Size
 	// kept are the workers that late jobs may use under a machine limit. It is built on first use.
 	kept []*candidate
 	// byID indexes the usable workers by ID. It is built on first use.
@@ -69,6 +70,9 @@
 		rd.used = rd.used.Add(cd.used.Min(cd.info.Room))
 		rd.room = rd.room.Add(cd.info.Room)
 	}
+	for wk := range cr.staying(now) {
+		rd.poolRoom = rd.poolRoom.Add(wk.info.Room)
+	}
 	cr.findRecentStarts(rd)
 	cr.reserveIntents(rd)
 	cr.roundUsable, cr.roundRoom, cr.roundShare = len(rd.usable), free, rd.utilization()
@@ -112,6 +116,17 @@
 	return withoutSlow(now, list)
 }
 
+// staying iterates over the registered workers that are not leaving, whether or not they accept tasks at present.
+func (cr *Core) staying(now time.Time) iter.Seq[*worker] {
+	return func(yield func(*worker) bool) {
+		for _, wk := range cr.sortedWorkers {
+			if wk.registered && !cr.leaving(now, wk) && !yield(wk) {
+				return
+			}
+		}
+	}
+}
+
 // acceptsTasks reports whether a worker may receive new tasks.
 func (cr *Core) acceptsTasks(now time.Time, wk *worker) bool {
 	switch {
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -201,11 +201,9 @@
 	if now.Before(cr.machineLimitUntil) {
 		ps.MachineLimit = cr.machineLimit
 	}
-	for _, wk := range cr.sortedWorkers {
-		if wk.registered && !cr.leaving(now, wk) {
-			ps.Workers++
-			ps.Room, ps.Used = ps.Room.Add(wk.info.Room), ps.Used.Add(wk.used)
-		}
+	for wk := range cr.staying(now) {
+		ps.Workers++
+		ps.Room, ps.Used = ps.Room.Add(wk.info.Room), ps.Used.Add(wk.used)
 	}
 	return ps
 }
