Silent workers are recorded: the next owners wait only with the jobs that may run there, and not anew

Cause: a new owner cannot ask a worker that does not answer, and nothing told it what the former owner had started there. So all jobs of former owners waited while any worker was unresolved, up to lease and renewal window (12.7 s), counted from the own claim: also if the former owner knew what was there, or had never reached the worker itself. For a worker known to have ended the wait began anew as well, 12 s at each owner. Change: two polls without an answer, and the owner stores with the worker which jobs may have attempts there (or that it never reached it), and starts nothing on it until a list without that record is stored. The next owner keeps only these jobs waiting; the time counts from the first claim since the last order there, as far as it has seen that claim. Lists of workers are written one at a time, so every driver of a core reports the end of a write (RecordWorkersEnded; two test drivers did not). An owner drops records that its predecessor, of an earlier version, did not know. Why it holds: no owner orders anything at a recorded worker, so nothing joins the jobs named; no owner above the stored epoch renewed a lease there, and one below it stops within the renewal window of the next claim.

--- a/cell/burst_test.go
+++ b/cell/burst_test.go
@@ -119,7 +119,10 @@
 func (bt *burst) execute(od Order) {
 	switch order := od.(type) {
 	case RecordWorkers:
-		bt.at(burstTrip, func() { bt.core.WorkersRecorded(order.Workers) })
+		bt.at(burstTrip, func() {
+			bt.core.WorkersRecorded(order.Workers)
+			bt.core.RecordWorkersEnded()
+		})
 	case Save:
 		bt.version++
 		version := bt.version
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -67,6 +67,8 @@
 	Remaining time.Duration `json:"left,omitempty"`
 	// Ended means that this incarnation is known to have ended.
 	Ended bool `json:"ended,omitempty"`
+	// Silence is set if the worker did not answer.
+	Silence *Silence `json:"silence,omitempty"`
 }
 
 // Core is the state of a cell under one owner.
@@ -95,7 +97,13 @@
 	// sortedWorkers holds the workers sorted by ID, so that the same events give the same orders. It is replaced, never modified.
 	sortedWorkers []*worker
 	// unresolved holds the workers on which tasks of an earlier owner may run unseen, with the time when the last lease there expires.
-	unresolved    map[WorkerID]time.Time
+	unresolved map[WorkerID]time.Time
+	// held names the only jobs that may run unseen on an unresolved worker, if they are known. heldCounts counts these workers by job.
+	held       map[WorkerID][]job.ID
+	heldCounts map[job.ID]int
+	// claims are the claims of the cell that this instance has seen. claimSentAt is when its own was sent.
+	claims        []Claim
+	claimSentAt   time.Time
 	pendingSaves  []savedState
 	saveOrderedAt time.Time
 	dirtyJobs     map[job.ID]*jobState
@@ -122,6 +130,8 @@
 	// renewalsVisible means that the platform reports the renewal of a registration even if its content is unchanged.
 	renewalsVisible bool
 	link            linkMonitor
+	// listWriting means that a write of the list of workers in use is in flight.
+	listWriting bool
 	// listOutdated means that the stored list of workers in use names workers that are gone. prunedAt is when such workers were last removed from it.
 	listOutdated bool
 	prunedAt     time.Time
@@ -129,6 +139,8 @@
 	lateStarts []*lateStart
 	// departed are unresolved workers whose incarnation has ended. Their next incarnation may still carry out orders sent to them.
 	departed map[WorkerID]WorkerRef
+	// departuresStored are those of them that the stored list names as ended.
+	departuresStored map[WorkerID]bool
 	// movedWorkers are workers of earlier owners on which nothing was left when they ended.
 	movedWorkers map[WorkerID]bool
 	// pendingLosses are lost workers whose loss is not saved yet.
@@ -186,14 +198,14 @@
 	return &Core{
 		opts: options.WithDefaults(), pool: pool, epoch: epoch,
 		queues: map[job.QueueID]job.Queue{}, jobs: map[job.ID]*jobState{}, workers: map[WorkerID]*worker{}, tokenCounters: map[WorkerName]*Token{},
-		unresolved: map[WorkerID]time.Time{}, departed: map[WorkerID]WorkerRef{}, movedWorkers: map[WorkerID]bool{}, dirtyJobs: map[job.ID]*jobState{}, cordons: map[WorkerName]bool{}, cordonedSince: map[WorkerName]time.Time{}, reservedUntil: map[WorkerName]time.Time{}, crashLoops: map[job.QueueID]time.Time{}, runTimes: runTimes{}, ledger: NewLedger(string(pool), epoch), shareBuckets: map[job.OrganisationID]*tokenBucket{}, admission: newAdmissionAccount(),
+		unresolved: map[WorkerID]time.Time{}, held: map[WorkerID][]job.ID{}, heldCounts: map[job.ID]int{}, departed: map[WorkerID]WorkerRef{}, departuresStored: map[WorkerID]bool{}, movedWorkers: map[WorkerID]bool{}, dirtyJobs: map[job.ID]*jobState{}, cordons: map[WorkerName]bool{}, cordonedSince: map[WorkerName]time.Time{}, reservedUntil: map[WorkerName]time.Time{}, crashLoops: map[job.QueueID]time.Time{}, runTimes: runTimes{}, ledger: NewLedger(string(pool), epoch), shareBuckets: map[job.OrganisationID]*tokenBucket{}, admission: newAdmissionAccount(),
 	}
 }
 
 // TakeOver takes over the workers that an earlier owner used. asked is when the store was asked for the ownership, which counts as confirmed at
 // that time. After a release only the last leases can still be running. An owner that was superseded may have renewed them for some time.
 func (cr *Core) TakeOver(now, asked time.Time, used []WorkerRef, released bool) {
-	cr.confirmedAt, cr.storeBackAt = asked, now
+	cr.confirmedAt, cr.claimSentAt, cr.storeBackAt = asked, asked, now
 	lease := cr.byWorkerClock(cr.opts.LeaseDuration) + deliveryMargin
 	for _, rf := range used {
 		wk := cr.ensureWorker(rf.ID)
@@ -213,8 +225,11 @@
 			wait = max(lease+cr.opts.RenewalWindow, rf.Remaining)
 		}
 		cr.unresolved[rf.ID] = now.Add(wait)
+		if rf.Silence != nil {
+			cr.inheritSilence(now, wk, rf.Silence)
+		}
 		if rf.Ended {
-			cr.departed[rf.ID] = rf
+			cr.departed[rf.ID] = cr.departedRef(wk)
 		}
 	}
 }
@@ -309,7 +324,7 @@
 func (cr *Core) UsedWorkers() []WorkerRef {
 	var refs []WorkerRef
 	for _, wk := range cr.sortedWorkers {
-		refs = append(refs, WorkerRef{ID: wk.info.ID, Address: wk.info.Address, Machine: wk.info.Machine})
+		refs = append(refs, WorkerRef{ID: wk.info.ID, Address: wk.info.Address, Machine: wk.info.Machine, Silence: wk.storedSilence()})
 	}
 	cr.pendingLosses = slices.DeleteFunc(cr.pendingLosses, func(pe pendingLoss) bool { return !pe.unsaved() })
 	for _, pe := range cr.pendingLosses {
@@ -360,8 +375,12 @@
 // WorkersRecorded records that the stored list names these workers, so that the next owner will poll them.
 func (cr *Core) WorkersRecorded(refs []WorkerRef) {
 	for _, rf := range refs {
+		if _, departed := cr.departed[rf.ID]; departed && rf.Ended && rf.Silence != nil {
+			cr.departuresStored[rf.ID] = true
+		}
 		if wk, ok := cr.workers[rf.ID]; ok {
 			wk.recorded = true
+			wk.silenceRecorded(rf.Silence)
 		}
 	}
 }
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -190,7 +190,7 @@
 	}
 	resolveAt := now
 	if wk.info.ID.reusesName() && !cr.movedWorkers[wk.info.ID] {
-		resolveAt = now.Add(lateStartWindow)
+		resolveAt = cr.ordersLateUntil(now, wk, now.Add(lateStartWindow))
 		if _, known := cr.departed[wk.info.ID]; known {
 			resolveAt = at
 		}
@@ -200,7 +200,8 @@
 			resolveAt = now
 		}
 	}
-	cr.unresolved[wk.info.ID], cr.departed[wk.info.ID] = resolveAt, wk.endedRef()
+	cr.unresolved[wk.info.ID] = resolveAt
+	cr.departed[wk.info.ID] = cr.departedRef(wk)
 }
 
 // resolveDeparted resolves former incarnations of a worker that has answered a poll. It carries out no more orders of earlier owners, and has
--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -149,9 +149,11 @@
 	rowWorkers         []WorkerRef
 	rowUnseenLossEpoch job.Epoch
 	rowReleased        bool
-	progress           map[job.ID]SaveRow
-	jobs               map[job.ID]*modelJob
-	jobOrder           []job.ID
+	// claims are the claims of the cell. Owners see them late.
+	claims   []Claim
+	progress map[job.ID]SaveRow
+	jobs     map[job.ID]*modelJob
+	jobOrder []job.ID
 	// acknowledged holds the tasks with an acknowledged end.
 	acknowledged map[job.Task]bool
 	// done holds the tasks that have completed, acknowledged or not.
@@ -336,6 +338,8 @@
 		// In a data hall that is cut off there are workers that only the previous owner can reach.
 		md.cutWorkers(ow)
 	}
+	md.claims = append(md.claims, Claim{Epoch: ow.epoch, SeenAt: md.now})
+	ow.core.NoteClaims(slices.Clone(md.claims))
 	ow.core.TakeOver(md.now, md.now, previousWorkers, released)
 	ow.core.NoteUnseenLosses(md.rowUnseenLossEpoch)
 	ow.core.Configure([]job.Queue{
@@ -626,14 +630,14 @@
 // recordWorkers writes the workers in use to the cell's row if the owner still owns the cell.
 func (md *model) recordWorkers(ow *modelOwner, en RecordWorkers) {
 	if !md.ownsRow(ow) || md.now.Before(ow.storeCutUntil) {
-		md.deliver(ow, ow.core.RecordWorkersFailed)
+		md.deliver(ow, ow.core.RecordWorkersEnded)
 		return
 	}
 	md.version++
 	md.rowVersion, ow.rowVersion, md.rowWorkers, md.rowUnseenLossEpoch = md.version, md.version, en.Workers, en.UnseenLossEpoch
 	md.deliver(ow, func() {
 		ow.core.WorkersRecorded(en.Workers)
-		ow.core.RecordWorkersFailed()
+		ow.core.RecordWorkersEnded()
 	})
 }
 
--- a/cell/place.go
+++ b/cell/place.go
@@ -52,7 +52,7 @@
 
 func (cr *Core) placeJobs(rd *round, jobs []*jobState) {
 	for _, js := range jobs {
-		if js.inherited && len(cr.unresolved) > 0 {
+		if cr.mayRunUnresolved(js) {
 			js.waitReason = WaitUnresolved
 			continue
 		}
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -30,6 +30,7 @@
 	}
 	cr.removeEnded()
 	cr.recordWorkers()
+	cr.recordSilences(now)
 	cr.planStops(now)
 	cr.roundSkipped = WaitUnconfirmed
 	if cr.mayRenew(now) && cr.upToDate() && !cr.startingStopped {
@@ -76,22 +77,17 @@
 
 // recordWorkers adds new workers to the stored list before any task starts on them.
 func (cr *Core) recordWorkers() {
-	missing := false
-	for _, wk := range cr.sortedWorkers {
-		if wk.registered && !wk.recorded && !wk.recording {
-			missing = true
-		}
-	}
-	if missing {
+	if slices.ContainsFunc(cr.sortedWorkers, func(wk *worker) bool { return wk.registered && !wk.recorded }) {
 		cr.orderRecordWorkers()
 	}
 }
 
+// orderRecordWorkers orders a write of the list of workers in use, unless one is in flight.
 func (cr *Core) orderRecordWorkers() {
-	for _, wk := range cr.sortedWorkers {
-		wk.recording = true
+	if cr.listWriting {
+		return
 	}
-	cr.listOutdated = false
+	cr.listWriting, cr.listOutdated = true, false
 	cr.order(RecordWorkers{Workers: cr.UsedWorkers(), UnseenLossEpoch: cr.UnseenLossEpoch()})
 }
 
@@ -101,18 +97,14 @@
 // pruneRecordedWorkers removes ended workers from the stored list along with a save. The next owner would otherwise assume that tasks were lost
 // with them.
 func (cr *Core) pruneRecordedWorkers(now time.Time) {
-	if cr.listOutdated && now.Sub(cr.prunedAt) >= minPruneInterval {
+	if cr.listOutdated && !cr.listWriting && now.Sub(cr.prunedAt) >= minPruneInterval {
 		cr.prunedAt = now
 		cr.orderRecordWorkers()
 	}
 }
 
-// RecordWorkersFailed records that the workers could not be stored. The write is retried.
-func (cr *Core) RecordWorkersFailed() {
-	for _, wk := range cr.sortedWorkers {
-		wk.recording = false
-	}
-}
+// RecordWorkersEnded records that no write of the list is in flight any more. What was not stored is written again.
+func (cr *Core) RecordWorkersEnded() { cr.listWriting = false }
 
 // planStops orders the stops that are due and counts the starts in flight.
 func (cr *Core) planStops(now time.Time) {
@@ -258,7 +250,7 @@
 func (cr *Core) poll(now time.Time, wk *worker, wait time.Duration) {
 	po := Poll{Worker: wk.info.ID, Address: wk.info.Address, Token: cr.token(wk), AckedEnd: wk.ackedEnd, Wait: wait}
 	// The leases of an unresponsive worker are not renewed, so that it is known when its attempts have ended.
-	if wk.failedPolls == 0 && cr.mayRenew(now) && (len(wk.placements) > 0 || len(wk.foreign) > 0) {
+	if wk.failedPolls == 0 && cr.mayRenew(now) && cr.mayRenewLeases(wk) && (len(wk.placements) > 0 || len(wk.foreign) > 0) {
 		po.LeaseUntil = cr.leaseUntil(wk, now)
 		cr.recordLease(wk, po.LeaseUntil)
 	}
--- a/cell/round.go
+++ b/cell/round.go
@@ -132,7 +132,7 @@
 	switch {
 	case cr.leaving(now, wk) || cr.cordoned(now, wk) || wk.info.Unschedulable || cr.evacuated(wk):
 		return false
-	case !wk.fenced || !wk.recorded || wk.clockAt.IsZero() || wk.failedPolls > 0 || wk.startUnsettled:
+	case !wk.fenced || !wk.recorded || wk.silence != nil || wk.clockAt.IsZero() || wk.failedPolls > 0 || wk.startUnsettled:
 		return false
 	case now.Before(wk.unhealthyUntil) || wk.failures.ejected(now) || wk.quarantined():
 		return false
--- a/cell/succession_test.go
+++ b/cell/succession_test.go
@@ -200,7 +200,7 @@
 		su.rowWorkers, su.rowUnseen = order.Workers, order.UnseenLossEpoch
 		su.core.WorkersRecorded(order.Workers)
 	}
-	su.core.RecordWorkersFailed()
+	su.core.RecordWorkersEnded()
 }
 
 // until lets the owner act until a condition holds. It reports whether the condition came to hold.
--- a/cell/unseenloss_test.go
+++ b/cell/unseenloss_test.go
@@ -138,6 +138,7 @@
 		for _, od := range bd.plan() {
 			if en, ok := od.(RecordWorkers); ok {
 				named = slices.ContainsFunc(en.Workers, func(rf WorkerRef) bool { return rf.ID == "gone" })
+				bd.core.RecordWorkersEnded()
 			}
 		}
 		bd.advance(2 * minPruneInterval)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -93,9 +93,12 @@
 	roomUncertainUntil time.Time
 	// coldSince and coldUntil are the period after its start in which the worker is slow.
 	coldSince, coldUntil time.Time
-	// recorded means that the stored list of workers in use names the worker. recording means that a write that names it was ordered.
-	recorded  bool
-	recording bool
+	// recorded means that the stored list of workers in use names the worker.
+	recorded bool
+	// silence is what the stored list says, or is to say, of the worker since it did not answer. Nothing is started on it until the list says nothing any
+	// more. silenceStored means that the list has it, silenceOver that the worker has answered since.
+	silence                    *Silence
+	silenceStored, silenceOver bool
 	// tokenCounter is shared by all incarnations of the worker.
 	tokenCounter *Token
 	// fenced means that the worker has answered a poll of this owner since it was added or its leases expired. Orders of earlier owners are void then.
@@ -317,9 +320,11 @@
 		return
 	}
 	delete(cr.unresolved, id)
+	cr.removeHeld(id)
 	if _, gone := cr.departed[id]; gone {
 		// Remove the worker from the stored list. The next owner would otherwise wait for its next incarnation again.
 		delete(cr.departed, id)
+		delete(cr.departuresStored, id)
 		cr.listOutdated = true
 	}
 	cr.opts.Log(Decision{What: "worker resolved", Worker: id, Why: why})
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -59,6 +59,8 @@
 	Term time.Duration `json:"term,omitempty"`
 	// Released means that the last owner released the cell and has granted no lease since.
 	Released bool `json:"released,omitempty"`
+	// Silences means that the owner removes the records of silent workers before it uses them. Owners of earlier versions do not know such records.
+	Silences bool `json:"silences,omitempty"`
 	// version is the version of the row, seenAt when this version was first read here.
 	version int64
 	seenAt  time.Time
@@ -82,15 +84,16 @@
 	versions   map[string]int64
 	nodeSeenAt map[string]time.Time
 	owners     map[string]ownerRow
-	// ownerChangedAt is when a cell's row was last seen to change.
+	// ownerChangedAt is when a cell's row was last seen to change. claims are the newest claims that were seen of each cell.
 	ownerChangedAt map[string]time.Time
+	claims         map[string][]cell.Claim
 	drains         map[cell.MachineID]drainRow
 	// vacantSince is since when a cell has had no live owner.
 	vacantSince map[string]time.Time
 }
 
 func newMembers(now func() time.Time, log *event.Logger) *members {
-	return &members{now: now, log: log, nodes: map[string]node{}, versions: map[string]int64{}, nodeSeenAt: map[string]time.Time{}, owners: map[string]ownerRow{}, ownerChangedAt: map[string]time.Time{}, drains: map[cell.MachineID]drainRow{}, vacantSince: map[string]time.Time{}}
+	return &members{now: now, log: log, nodes: map[string]node{}, versions: map[string]int64{}, nodeSeenAt: map[string]time.Time{}, owners: map[string]ownerRow{}, ownerChangedAt: map[string]time.Time{}, claims: map[string][]cell.Claim{}, drains: map[cell.MachineID]drainRow{}, vacantSince: map[string]time.Time{}}
 }
 
 // applyControlRows applies changes of the control table. Every answer of the store confirms the ownership of the cells owned
@@ -170,7 +173,7 @@
 	or.version, or.seenAt = rw.Version, fl.opts.Now()
 	fl.members.mu.Lock()
 	if old, ok := fl.members.owners[rw.Part]; !ok || old.version < or.version {
-		fl.members.owners[rw.Part], fl.members.ownerChangedAt[rw.Part] = or, fl.opts.Now()
+		fl.members.setOwner(rw.Part, or)
 		delete(fl.members.vacantSince, rw.Part)
 	}
 	fl.members.mu.Unlock()
@@ -180,6 +183,27 @@
 	}
 }
 
+// maxSeenClaims is how many claims of a cell are remembered, so that its next owner knows how long ago its predecessors claimed it.
+const maxSeenClaims = 16
+
+// setOwner sets the row of a cell. The caller holds the lock.
+func (mb *members) setOwner(name string, or ownerRow) {
+	mb.owners[name], mb.ownerChangedAt[name] = or, mb.now()
+	claims := mb.claims[name]
+	if or.Holder == "" || len(claims) > 0 && claims[len(claims)-1].Epoch >= or.epoch() {
+		return
+	}
+	claims = append(claims, cell.Claim{Epoch: or.epoch(), SeenAt: mb.now()})
+	mb.claims[name] = claims[max(0, len(claims)-maxSeenClaims):]
+}
+
+// seenClaims returns the newest claims that were seen of a cell.
+func (mb *members) seenClaims(name string) []cell.Claim {
+	mb.mu.RLock()
+	defer mb.mu.RUnlock()
+	return slices.Clone(mb.claims[name])
+}
+
 // owner returns the row of a cell.
 func (mb *members) owner(name string) ownerRow {
 	mb.mu.RLock()
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -108,6 +108,11 @@
 	ow.mu.Lock()
 	ow.takenOver = true
 	used := ow.used.refs()
+	recorded := used
+	if !previous.Silences {
+		used, recorded = withoutSilences(used)
+	}
+	ow.core.NoteClaims(fl.members.seenClaims(name))
 	ow.core.TakeOver(claimedAt, sentAt, used, previous.Released)
 	ow.core.NoteUnseenLosses(ow.used.head.UnseenLossEpoch)
 	if cf := fl.config.Load(); cf != nil {
@@ -116,7 +121,7 @@
 	for _, wk := range fl.workerCache.inPool(job.PoolID(name)) {
 		ow.core.Register(claimedAt, wk)
 	}
-	ow.core.WorkersRecorded(used)
+	ow.core.WorkersRecorded(recorded)
 	ow.core.SetPausedQueues(fl.pausedQueues())
 	ow.core.SetEvacuatedHalls(fl.evacuatedHalls())
 	for _, ar := range fl.knownAccounts() {
--- a/fleet/ownership.go
+++ b/fleet/ownership.go
@@ -222,7 +222,7 @@
 }
 
 func (fl *Fleet) commitClaim(ctx context.Context, name string, old ownerRow) {
-	next := ownerRow{Holder: fl.opts.Name, Incarnation: fl.opts.Incarnation}
+	next := ownerRow{Holder: fl.opts.Name, Incarnation: fl.opts.Incarnation, Silences: true}
 	raw, err := json.Marshal(next)
 	if err != nil {
 		fl.opts.Log.Emit(event.ClaimFailed, zap.String("cell", name), zap.Error(err))
@@ -247,7 +247,7 @@
 	next.version, next.seenAt = version, fl.opts.Now()
 	fl.members.mu.Lock()
 	if fl.members.owners[name].version < version {
-		fl.members.owners[name], fl.members.ownerChangedAt[name] = next, fl.opts.Now()
+		fl.members.setOwner(name, next)
 	}
 	fl.members.mu.Unlock()
 	fl.opts.Log.Emit(event.CellClaimed, zap.String("cell", name), zap.Int64("epoch", version), zap.String("before", old.Holder))
--- a/fleet/usedworkers.go
+++ b/fleet/usedworkers.go
@@ -94,13 +94,26 @@
 	return slices.SortedFunc(maps.Values(uw.stored), func(one, other cell.WorkerRef) int { return cmp.Compare(one.ID, other.ID) })
 }
 
+// withoutSilences returns the references without the records of silent workers, which the last owner did not know and may have used. current are the
+// references without a record: the others have to be stored again before the workers are used.
+func withoutSilences(refs []cell.WorkerRef) (all, current []cell.WorkerRef) {
+	for _, rf := range refs {
+		if rf.Silence == nil {
+			current = append(current, rf)
+		}
+		rf.Silence = nil
+		all = append(all, rf)
+	}
+	return all, current
+}
+
 // diff returns the change that makes the store hold a list of workers and the epoch of unseen losses.
 func (uw *usedWorkers) diff(list []cell.WorkerRef, unseenLossEpoch job.Epoch) usedChange {
 	uc := usedChange{unseenLossEpoch: unseenLossEpoch, headOnly: unseenLossEpoch != uw.head.UnseenLossEpoch}
 	wanted := make(map[cell.WorkerID]bool, len(list))
 	for _, ref := range list {
 		wanted[ref.ID] = true
-		if old, known := uw.stored[ref.ID]; !known || old != ref {
+		if old, known := uw.stored[ref.ID]; !known || !old.Equal(ref) {
 			uc.put = append(uc.put, ref)
 		}
 	}
--- a/fleet/writes.go
+++ b/fleet/writes.go
@@ -98,14 +98,14 @@
 			save, saves = saves[0], saves[1:]
 		}
 		if !ow.commitPart(ctx, save, &change) {
-			ow.post(func(cr *cell.Core, _ time.Time) { cr.RecordWorkersFailed() })
+			ow.post(func(cr *cell.Core, _ time.Time) { cr.RecordWorkersEnded() })
 			return
 		}
 	}
 	if wb.workers != nil {
 		ow.post(func(cr *cell.Core, _ time.Time) {
 			cr.WorkersRecorded(wb.workers.Workers)
-			cr.RecordWorkersFailed()
+			cr.RecordWorkersEnded()
 		})
 	}
 }
