Records of silent workers are trusted only from the epoch on from which all owners know them

After an owner of an earlier version, which passes records over and may have used the workers, its successor dropped the records but took the workers for recorded at once, and the stale rows stayed in the store: by reading, the owner after it, whose predecessor knows records, would have trusted them, and started again what runs there. Change: the row of an owner says since which epoch all owners know records, carried on from row to row. An earlier version drops the field, so the next owner begins anew above that version's epoch, and records from before are not trusted by any owner after it. Result: TestRecordsThatAnOwnerDidNotKnowAreNotTrusted plays five claims, one of an earlier version.

--- a/fleet/members.go
+++ b/fleet/members.go
@@ -59,8 +59,9 @@
 	Term time.Duration `json:"term,omitempty"`
 	// Released means that the last owner released the cell and has granted no lease since.
 	Released bool `json:"released,omitempty"`
-	// Silences means that the owner removes the records of silent workers before it uses them. Owners of earlier versions do not know such records.
-	Silences bool `json:"silences,omitempty"`
+	// SilencesSince is the epoch from which on all owners have known the records of silent workers. An owner of an earlier version passes them over, and
+	// drops the field.
+	SilencesSince job.Epoch `json:"silencesSince,omitempty"`
 	// version is the version of the row, seenAt when this version was first read here.
 	version int64
 	seenAt  time.Time
@@ -74,6 +75,14 @@
 	return job.Epoch(or.version)
 }
 
+// nextSilencesSince returns SilencesSince of the owner that replaces this row. Its epoch is higher than the row's version.
+func (or ownerRow) nextSilencesSince() job.Epoch {
+	if or.SilencesSince != 0 {
+		return or.SilencesSince
+	}
+	return job.Epoch(or.version) + 1
+}
+
 // members holds the entry instances, cell owners and machine drains of the control table.
 type members struct {
 	now   func() time.Time
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -44,6 +44,8 @@
 	fl    *Fleet
 	name  string
 	epoch job.Epoch
+	// silencesSince is the epoch from which on all owners have known the records of silent workers.
+	silencesSince job.Epoch
 	// rowVersion is the version of the cell's row. Each write of progress is conditional on it.
 	rowVersion atomic.Int64
 	lost       atomic.Bool
@@ -80,7 +82,7 @@
 // newOwner returns an owner whose core knows no jobs yet.
 func newOwner(fl *Fleet, name string, row ownerRow, cancel context.CancelFunc) *owner {
 	ow := &owner{
-		fl: fl, name: name, epoch: row.epoch(), cancel: cancel, done: make(chan struct{}), wakeup: make(chan struct{}, 1),
+		fl: fl, name: name, epoch: row.epoch(), silencesSince: row.SilencesSince, cancel: cancel, done: make(chan struct{}), wakeup: make(chan struct{}, 1),
 		writeQueue: newWriteQueue(), storedProgress: map[job.ID]Row{}, storedParts: map[job.ID][][]byte{}, partCounts: map[job.ID]int{}, orderQueues: map[cell.WorkerID]*orderQueue{},
 		claimedAt: fl.opts.Now(), used: newUsedWorkers(name),
 	}
@@ -107,11 +109,7 @@
 	}
 	ow.mu.Lock()
 	ow.takenOver = true
-	used := ow.used.refs()
-	recorded := used
-	if !previous.Silences {
-		used, recorded = withoutSilences(used)
-	}
+	used := trustedSilences(ow.used.refs(), ow.silencesSince)
 	ow.core.NoteClaims(fl.members.seenClaims(name))
 	ow.core.TakeOver(claimedAt, sentAt, used, previous.Released)
 	ow.core.NoteUnseenLosses(ow.used.head.UnseenLossEpoch)
@@ -121,7 +119,7 @@
 	for _, wk := range fl.workerCache.inPool(job.PoolID(name)) {
 		ow.core.Register(claimedAt, wk)
 	}
-	ow.core.WorkersRecorded(recorded)
+	ow.core.WorkersRecorded(used)
 	ow.core.SetPausedQueues(fl.pausedQueues())
 	ow.core.SetEvacuatedHalls(fl.evacuatedHalls())
 	for _, ar := range fl.knownAccounts() {
--- a/fleet/ownership.go
+++ b/fleet/ownership.go
@@ -222,7 +222,7 @@
 }
 
 func (fl *Fleet) commitClaim(ctx context.Context, name string, old ownerRow) {
-	next := ownerRow{Holder: fl.opts.Name, Incarnation: fl.opts.Incarnation, Silences: true}
+	next := ownerRow{Holder: fl.opts.Name, Incarnation: fl.opts.Incarnation, SilencesSince: old.nextSilencesSince()}
 	raw, err := json.Marshal(next)
 	if err != nil {
 		fl.opts.Log.Emit(event.ClaimFailed, zap.String("cell", name), zap.Error(err))
--- a/fleet/release.go
+++ b/fleet/release.go
@@ -73,7 +73,7 @@
 	ow.stop()
 	handover, complete := ow.handover(ctx)
 	// commitRelease logs a failure. The other instances then find that the owner has left or is dead.
-	_ = fl.commitRelease(ctx, ow.name, ow.rowVersion.Load(), ownerRow{Released: complete, Silences: true}, handover)
+	_ = fl.commitRelease(ctx, ow.name, ow.rowVersion.Load(), ownerRow{Released: complete, SilencesSince: ow.silencesSince}, handover)
 }
 
 // txPart is a part of a transaction.
--- a/fleet/silences_test.go
+++ b/fleet/silences_test.go
@@ -41,15 +41,35 @@
 	}
 }
 
-// TestRecordsThatAnOwnerDidNotKnowAreNotTrusted checks that an owner whose predecessor did not know of records of silent workers drops them, and stores
-// these workers again before it uses them.
+// TestRecordsThatAnOwnerDidNotKnowAreNotTrusted checks that records of silent workers are dropped once an owner of an earlier version has had the cell,
+// which does not write since when owners know them, and that later owners go on to drop those.
 func TestRecordsThatAnOwnerDidNotKnowAreNotTrusted(t *testing.T) {
-	all, current := withoutSilences([]cell.WorkerRef{{ID: "a"}, {ID: "b", Silence: &cell.Silence{After: 7}}})
-	if len(all) != 2 || all[0].Silence != nil || all[1].Silence != nil || all[1].ID != "b" {
-		t.Errorf("references %+v", all)
+	var row ownerRow
+	claim := func(version int64, knows bool) {
+		next := ownerRow{Holder: "one", version: version}
+		if knows {
+			next.SilencesSince = row.nextSilencesSince()
+		}
+		row = next
+	}
+	// trusted returns whether the present owner trusts a record of a worker that an owner had used itself, and one of a worker that it never reached.
+	trusted := func(by job.Epoch) string {
+		refs := trustedSilences([]cell.WorkerRef{{ID: "a", Silence: &cell.Silence{After: by}}, {ID: "b", Silence: &cell.Silence{After: by - 1}}}, row.SilencesSince)
+		return fmt.Sprint(refs[0].Silence != nil, refs[1].Silence != nil)
+	}
+	claim(5, true)
+	claim(8, true)
+	if got := trusted(5); got != "true true" {
+		t.Errorf("records of the predecessor are trusted: %s", got)
+	}
+	claim(12, false)
+	claim(15, true)
+	claim(17, true)
+	if got := trusted(8) + trusted(5); got != "false falsefalse false" {
+		t.Errorf("records from before an owner that did not know them are trusted: %s", got)
 	}
-	if len(current) != 1 || current[0].ID != "a" {
-		t.Errorf("still current are %+v", current)
+	if got := trusted(15); got != "true true" {
+		t.Errorf("records from after it are trusted: %s", got)
 	}
 }
 
--- a/fleet/usedworkers.go
+++ b/fleet/usedworkers.go
@@ -94,17 +94,14 @@
 	return slices.SortedFunc(maps.Values(uw.stored), func(one, other cell.WorkerRef) int { return cmp.Compare(one.ID, other.ID) })
 }
 
-// withoutSilences returns the references without the records of silent workers, which the last owner did not know and may have used. current are the
-// references without a record: the others have to be stored again before the workers are used.
-func withoutSilences(refs []cell.WorkerRef) (all, current []cell.WorkerRef) {
-	for _, rf := range refs {
-		if rf.Silence == nil {
-			current = append(current, rf)
+// trustedSilences drops the records of silent workers that were written before an epoch. An owner that did not know them may have used the workers since.
+func trustedSilences(refs []cell.WorkerRef, since job.Epoch) []cell.WorkerRef {
+	for at := range refs {
+		if sl := refs[at].Silence; sl != nil && sl.After < since-1 {
+			refs[at].Silence = nil
 		}
-		rf.Silence = nil
-		all = append(all, rf)
 	}
-	return all, current
+	return refs
 }
 
 // diff returns the change that makes the store hold a list of workers and the epoch of unseen losses.
