Reason makingRoom goes before plannedWorker, as it counts towards what an organisation could use

So an urgent job that is planned for a worker while another could take it asked for no allowance. Result: TestPlannedStartThatMayMakeRoomAsksForItsAllowance fails before (plannedWorker) and passes.

--- a/cell/allowance_test.go
+++ b/cell/allowance_test.go
@@ -243,3 +243,24 @@
 	}
 	return count
 }
+
+// TestPlannedStartThatMayMakeRoomAsksForItsAllowance checks that an urgent job whose start is planned for a full worker is still said to make room, also
+// if another worker could take it: a job that waits only for its planned worker does not count towards what its organisation could use.
+func TestPlannedStartThatMayMakeRoomAsksForItsAllowance(t *testing.T) {
+	bd := newTestBed(t, 2)
+	bd.core.Configure([]job.Queue{{ID: "q", Pool: testPool, Priority: 2, MaxAttempts: 2, Stretch: 1.5, Slack: time.Second}, {ID: "urgent", Pool: testPool, MaxAttempts: 2, Stretch: 1.5, Slack: time.Minute}})
+	bd.core.NoteUnseenLosses(testEpoch)
+	bd.fillWorkers()
+	bd.core.Add(bd.now, StoredJob{Spec: &job.Spec{ID: "j", Queue: "urgent", Pool: testPool, Steps: []job.Step{taskStep(1)}, Epoch: testEpoch - 1, AcceptedAt: bd.now}})
+	bd.plan()
+	planned := bd.core.jobs["j"].plannedWorker()
+	for _, wk := range bd.core.workers {
+		if wk.info.ID != planned {
+			wk.used = taskStep(1).Size
+		}
+	}
+	rd, st := bd.core.newRound(bd.now), bd.core.jobs["j"].singleRun[0].steps[0]
+	if got := bd.core.unplacedReason(rd, st); got != WaitMakingRoom || !bd.core.waitsForPlannedWorker(rd, st) {
+		t.Errorf("the job waits for %s, planned for %q", got, planned)
+	}
+}
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -270,12 +270,12 @@
 
 // unplacedReason returns why a step waits that no worker could take a task of.
 func (cr *Core) unplacedReason(rd *round, st *step) WaitReason {
-	if cr.waitsForPlannedWorker(rd, st) {
-		return WaitPlannedWorker
-	}
 	if cr.mayMakeRoom(rd, st) {
 		return WaitMakingRoom
 	}
+	if cr.waitsForPlannedWorker(rd, st) {
+		return WaitPlannedWorker
+	}
 	room := st.spec.ResourceRequest()
 	for _, cd := range rd.usable {
 		if room.Fits(cd.free) && (!cr.crashLoopAllows(rd.now, st, cd) || cr.turnTaken(rd.now, st, cd)) {
