Tests of silent workers share their first steps; what the model's owners see of claims is said as it is

Cause: found on rereading. The comment in the model said that owners see claims late; they see them at once, which is the strictest. Two tests of silent workers had the same arrangement.

--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -149,7 +149,7 @@
 	rowWorkers         []WorkerRef
 	rowUnseenLossEpoch job.Epoch
 	rowReleased        bool
-	// claims are the claims of the cell. Owners see them late.
+	// claims are the claims of the cell. Owners see them at once, which leaves the least time for the leases of earlier owners to run out.
 	claims   []Claim
 	progress map[job.ID]SaveRow
 	jobs     map[job.ID]*modelJob
--- a/cell/silence_test.go
+++ b/cell/silence_test.go
@@ -24,6 +24,16 @@
 	return sb
 }
 
+// newSilentWorkerBed returns a bed of two workers, one of which has started the task of the job "there" and answers no more.
+func newSilentWorkerBed(t *testing.T) (*silenceBed, Start) {
+	sb := newSilenceBed(t, 2)
+	sb.addJob("there", testEpoch, taskStep(1))
+	first := sb.step()[0]
+	sb.silent[first.Worker] = true
+	sb.play(2 * time.Second)
+	return sb, first
+}
+
 // step plans once, stores the list of workers, and answers or fails all polls. It returns the starts.
 func (sb *silenceBed) step() []Start {
 	sb.t.Helper()
@@ -103,11 +113,7 @@
 // TestJobsStandForASilentWorkerThatHoldsNothingOfTheirs checks that jobs of a former owner start at once although a worker does not answer, if that owner
 // has recorded that it holds nothing of theirs, and that a job with a task there waits until its lease is over.
 func TestJobsStandForASilentWorkerThatHoldsNothingOfTheirs(t *testing.T) {
-	sb := newSilenceBed(t, 2)
-	sb.addJob("there", testEpoch, taskStep(1))
-	first := sb.step()[0]
-	sb.silent[first.Worker] = true
-	sb.play(2 * time.Second)
+	sb, _ := newSilentWorkerBed(t)
 	sb.addJob("elsewhere", testEpoch, taskStep(1))
 	sb.succeed(testEpoch+1, nil, sb.specOf("there"), sb.specOf("elsewhere"))
 	if got := sb.playUntil("elsewhere"); got > modelMaxWait {
@@ -173,11 +179,7 @@
 // TestNothingIsStartedOnAWorkerWhileItsSilenceIsRecorded checks that a worker which answers again gets no start before the stored list says so, and from a
 // later owner no lease either.
 func TestNothingIsStartedOnAWorkerWhileItsSilenceIsRecorded(t *testing.T) {
-	sb := newSilenceBed(t, 2)
-	sb.addJob("there", testEpoch, taskStep(1))
-	first := sb.step()[0]
-	sb.silent[first.Worker] = true
-	sb.play(2 * time.Second)
+	sb, first := newSilentWorkerBed(t)
 	sb.addJob("all", testEpoch, taskStep(8))
 	sb.succeed(testEpoch+1, nil, sb.specOf("there"), sb.specOf("all"))
 	// returned plays two seconds in which all workers answer. It returns the list that is to be stored, and what was ordered at the worker.
