Review case 4: the system's own upkeep of rack after rack fails a job

Cause: tasks that outlast the five seconds of grace are lost with the machine, and that loss is charged to them like a crash; the fourth fails the job.

--- a/review/plant/main.go
+++ b/review/plant/main.go
@@ -22,7 +22,8 @@
 	play  func(pl *plant, trouble bool) verdict
 }{
 	"cancel": {setUpCancel, playCancel},
-	"racks":  {setUpRacks, playRacks},
+	"leave":  {setUpLeave, playLeave},
+	"upkeep": {setUpUpkeep, playUpkeep},
 }
 
 func main() {
