--- a/review/plant/leave.go
+++ b/review/plant/leave.go
@@ -12,7 +12,7 @@
 const (
 	// leavingWorkers is the number of workers that are replaced, one after the other, of the workersOfPool of the pool.
 	leavingWorkers = 4
-	workersOfPool  = 7
+	workersOfPool  = 16
 	// servesOn is how long a worker serves on after its entry is gone: bounds.drain_ms and a little longer.
 	servesOn = 2300 * time.Millisecond
 	// nextLeaves is the time from the end of one worker until the entry of the next one goes, and from the answer to the client until the first goes.
