Planned ends of workers are not charged to their tasks

Cause: chargeLoss exempted workers that say draining, and no other planned end. The rest were losses of a kind that counts as observed, and four fail a job. The owner of a cell could not know that an order for a machine had been sent, only that its worker was cordoned; nor did the next owner learn what the former one knew.

Change: the row of a drained machine says that an order follows, written with the announcement that precedes the order; the list of machines shows machines in maintenance; a registration that goes while its worker serves on for bounds.drain_ms is a planned end; the row of a worker in use says that it leaves. Only these exempt an end: a cordon or a missing registration alone does not (tried: a task that crashes its workers is started seven times).

--- a/cell/crash_bound_test.go
+++ b/cell/crash_bound_test.go
@@ -95,7 +95,7 @@
 // setRegistered adds or removes the registrations of all live workers.
 func (cc *crashCell) setRegistered(registered bool) {
 	for id, sw := range cc.workers {
-		if wk := cc.core.workers[id]; wk != nil && wk.registered == registered {
+		if wk := cc.core.workers[id]; sw.left || wk != nil && wk.registered == registered {
 			continue
 		}
 		if registered {
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -42,6 +42,8 @@
 	ends []End
 	last int64
 	dead bool
+	// left means that the worker has no registration any more, although it runs.
+	left bool
 }
 
 // crashCell is a core whose workers crash under some tasks. Crashed workers stop answering, are reported as ended, and come back as new
@@ -59,6 +61,9 @@
 	// noReset means that calls to an ended worker time out instead of breaking. unreported means that nobody reports the end of a worker.
 	// foreignRuns means that each worker also lists a run that the owner does not know.
 	noReset, unreported, foreignRuns bool
+	// taskTime is how long harmless tasks run. byOrder means that machines whose workers have ended are reported as carrying out an order.
+	taskTime time.Duration
+	byOrder  bool
 	// specs and rows are the jobs as the store has them.
 	specs  map[job.ID]*job.Spec
 	rows   map[job.ID]*job.Progress
@@ -75,7 +80,7 @@
 
 func newCrashCell(t *testing.T, workers int, crashAfter func(job.Task) (time.Duration, bool)) *crashCell {
 	t.Helper()
-	cc := &crashCell{testBed: newTestBed(t, 0), workers: map[WorkerID]*simulatedWorker{}, crashAfter: crashAfter, starts: map[job.Task]int{}, specs: map[job.ID]*job.Spec{}, rows: map[job.ID]*job.Progress{}}
+	cc := &crashCell{testBed: newTestBed(t, 0), workers: map[WorkerID]*simulatedWorker{}, crashAfter: crashAfter, taskTime: crashTaskTime, starts: map[job.Task]int{}, specs: map[job.ID]*job.Spec{}, rows: map[job.ID]*job.Progress{}}
 	cc.autoSave = true
 	for range workers {
 		cc.addWorker()
@@ -120,7 +125,11 @@
 	}
 	cc.reportedAt = cc.now
 	for _, id := range unresponsive {
-		if cc.workers[id] == nil {
+		switch {
+		case cc.workers[id] != nil:
+		case cc.byOrder:
+			cc.core.WorkerEndedByOrder(cc.now, id)
+		default:
 			cc.core.WorkerEnded(cc.now, id)
 		}
 	}
@@ -261,7 +270,7 @@
 	cc.starts[order.Task]++
 	after, crashes := cc.crashAfter(order.Task)
 	if !crashes {
-		after = crashTaskTime
+		after = cc.taskTime
 		if cc.starts[order.Task] > 1 {
 			cc.restarts++
 		}
--- a/cell/options.go
+++ b/cell/options.go
@@ -28,6 +28,8 @@
 	MaxListedEnds int
 	// MaxStopTime is the longest time that a worker takes to stop an attempt.
 	MaxStopTime time.Duration
+	// DrainTime is the shortest time that a worker which leaves serves on after its registration says so or is gone.
+	DrainTime time.Duration
 	// RegistrationMaxAge is how long the room in a worker's registration is valid after the registration was last written.
 	RegistrationMaxAge time.Duration
 	// Retention is how long the state of an ended job is kept.
@@ -71,6 +73,7 @@
 	DefaultRetention          = 150 * time.Second
 	DefaultRegistrationMaxAge = 3500 * time.Millisecond
 	DefaultMaxListedEnds      = 500
+	DefaultDrainTime          = 2 * time.Second
 	// deliveryMargin covers the time that an order takes on the network and in a slow process.
 	deliveryMargin = 500 * time.Millisecond
 )
@@ -88,6 +91,7 @@
 	setDefault(&op.PollInterval, DefaultPollInterval)
 	setDefault(&op.SaveInterval, DefaultSaveInterval)
 	setDefault(&op.Retention, DefaultRetention)
+	setDefault(&op.DrainTime, DefaultDrainTime)
 	setDefault(&op.RegistrationMaxAge, DefaultRegistrationMaxAge)
 	if op.MaxClockDrift == 0 {
 		op.MaxClockDrift = DefaultMaxClockDrift
--- a/cell/plan.go
+++ b/cell/plan.go
@@ -31,6 +31,7 @@
 	cr.removeEnded()
 	cr.recordWorkers()
 	cr.recordSilences(now)
+	cr.recordPlannedEnds(now)
 	cr.planStops(now)
 	cr.roundSkipped = WaitUnconfirmed
 	if cr.mayRenew(now) && cr.upToDate() && !cr.startingStopped {
--- a/cell/pollresult.go
+++ b/cell/pollresult.go
@@ -57,6 +57,7 @@
 	settles := !wk.endsKnown && !wk.endsCut
 	wk.failedPolls, wk.polledAt, wk.aliveAt = 0, pr.Received, latest(wk.aliveAt, pr.Sent)
 	wk.nextPoll = now.Add(cr.opts.PollInterval)
+	cr.noteOutlived(now, wk, pr)
 	wk.confirmedAck = max(wk.confirmedAck, pr.AckedEnd)
 	first := !wk.fenced
 	if first {
--- a/cell/registry.go
+++ b/cell/registry.go
@@ -18,6 +18,7 @@
 	}
 	wk.observeCold(now, registration.ColdFor)
 	wk.info, wk.registered, wk.registrationRead, wk.unregisteredAt = registration, true, true, time.Time{}
+	wk.planned = wk.planned.registered()
 }
 
 // uncertainRoomDivisor reduces the room counted on for a worker with an old registration. During a store outage the registration cannot report
@@ -41,6 +42,7 @@
 func (cr *Core) Unregister(now time.Time, id WorkerID) {
 	if wk, ok := cr.workers[id]; ok && wk.registered {
 		wk.registered, wk.unregisteredAt = false, now
+		wk.planned = wk.planned.unregistered(earliest(cr.registrationsAt, now))
 	}
 }
 
@@ -59,10 +61,13 @@
 	return ""
 }
 
-// WorkerMoved records that a worker has ended because its machine was moved to another pool, which only happens once nothing is left on it.
+// WorkerMoved records that a worker has ended because its machine was moved to another pool, which only happens once nothing is left on it. Attempts
+// that this owner had there were lost before, those of earlier owners were over.
 func (cr *Core) WorkerMoved(now time.Time, id WorkerID) {
 	if _, unresolved := cr.unresolved[id]; unresolved {
 		cr.movedWorkers[id] = true
+		cr.WorkerEndedByOrder(now, id)
+		return
 	}
 	cr.WorkerEnded(now, id)
 }
--- a/cell/takeover.go
+++ b/cell/takeover.go
@@ -19,6 +19,8 @@
 	Remaining time.Duration `json:"left,omitempty"`
 	// Ended means that this incarnation is known to have ended.
 	Ended bool `json:"ended,omitempty"`
+	// Leaving means that the end of this incarnation is planned.
+	Leaving bool `json:"leaving,omitempty"`
 	// Silence is set if the worker did not answer.
 	Silence *Silence `json:"silence,omitempty"`
 }
@@ -43,8 +45,10 @@
 			wk.info = Worker{ID: rf.ID, Machine: rf.Machine, Pool: cr.pool, Address: rf.Address}
 			// The worker is removed once it is resolved, unless a registration names it.
 			wk.unregisteredAt = now
+			wk.planned = wk.planned.unregistered(now)
 		}
 		wk.recorded = true
+		wk.planned.inherited, wk.planned.stored = rf.Leaving, rf.Leaving
 		cr.unresolved[rf.ID] = now.Add(cr.unseenFor(rf, released))
 		if rf.Silence != nil {
 			cr.inheritSilence(now, wk, rf.Silence)
@@ -73,7 +77,7 @@
 func (cr *Core) UsedWorkers() []WorkerRef {
 	var refs []WorkerRef
 	for _, wk := range cr.sortedWorkers {
-		refs = append(refs, WorkerRef{ID: wk.info.ID, Address: wk.info.Address, Machine: wk.info.Machine, Silence: wk.storedSilence()})
+		refs = append(refs, WorkerRef{ID: wk.info.ID, Address: wk.info.Address, Machine: wk.info.Machine, Leaving: wk.planned.known, Silence: wk.storedSilence()})
 	}
 	cr.pendingLosses = slices.DeleteFunc(cr.pendingLosses, func(pe pendingLoss) bool { return !pe.unsaved() })
 	for _, pe := range cr.pendingLosses {
@@ -128,7 +132,7 @@
 			cr.departuresStored[rf.ID] = true
 		}
 		if wk, ok := cr.workers[rf.ID]; ok {
-			wk.recorded = true
+			wk.recorded, wk.planned.stored = true, rf.Leaving
 			wk.silenceRecorded(rf.Silence)
 		}
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -146,6 +146,8 @@
 	unackedEnds []unackedEnd
 	lastEndRead int64
 	ackedEnd    int64
+	// planned is what is known of a planned end of the worker.
+	planned plannedEnd
 	// startUnsettled means that a start was not answered and no poll with a higher token has settled it yet.
 	startUnsettled bool
 	// confirmedAck is the newest acknowledgement that the worker has confirmed.
--- a/fleet/drain.go
+++ b/fleet/drain.go
@@ -13,12 +13,18 @@
 	"go.uber.org/zap"
 )
 
+// orderNoteRetention is how long it is remembered that an order ended a worker. An instance that takes over a cell within that time knows that the worker
+// had not crashed. It is more than the time for which a worker of earlier owners may be unresolved.
+const orderNoteRetention = time.Minute
+
 // drainRow is the row of a machine that is being drained.
 type drainRow struct {
 	Machine cell.MachineID  `json:"machine"`
 	Worker  cell.WorkerName `json:"worker"`
 	Pool    job.PoolID      `json:"pool"`
 	Wave    int             `json:"wave"`
+	// Orders counts the orders for the machine that were about to be sent when the row was written. Each ends the worker if it is carried out.
+	Orders  int `json:"orders,omitempty"`
 	version int64
 	seenAt  time.Time
 }
@@ -38,23 +44,37 @@
 		return
 	}
 	dr.version, dr.seenAt = rw.Version, mb.now()
-	if old, ok := mb.drains[id]; ok && old.Worker == dr.Worker {
+	old, ok := mb.drains[id]
+	if ok = ok && old.Worker == dr.Worker; ok {
 		dr.seenAt = old.seenAt
 	}
+	if dr.Orders > 0 && (!ok || dr.Orders != old.Orders) {
+		mb.noteOrder(dr.Worker)
+	}
 	mb.drains[id] = dr
 }
 
+// noteOrder remembers when this instance learned of an order that ends a worker. The caller holds the lock.
+func (mb *members) noteOrder(name cell.WorkerName) {
+	now := mb.now()
+	maps.DeleteFunc(mb.orders, func(_ cell.WorkerName, at time.Time) bool { return now.Sub(at) > orderNoteRetention })
+	mb.orders[name] = now
+}
+
 // cordonWorkers tells the cells owned here which workers to drain.
 func (fl *Fleet) cordonWorkers() {
 	fl.members.mu.RLock()
-	drains := maps.Clone(fl.members.drains)
+	drains, orders := maps.Clone(fl.members.drains), maps.Clone(fl.members.orders)
 	fl.members.mu.RUnlock()
 	ids := map[cell.WorkerName]bool{}
 	for _, dr := range drains {
 		ids[dr.Worker] = true
 	}
 	for _, ow := range fl.allOwners() {
-		ow.post(func(cr *cell.Core, _ time.Time) { cr.Cordon(ids) })
+		ow.post(func(cr *cell.Core, _ time.Time) {
+			cr.Cordon(ids)
+			cr.NoteOrders(orders)
+		})
 	}
 }
 
--- a/fleet/machinecheck.go
+++ b/fleet/machinecheck.go
@@ -6,7 +6,7 @@
 
 	"github.com/aspenseam/aspenseam/cell"
 	"github.com/aspenseam/aspenseam/event"
-	"github.com/aspenseam/aspenseam/job"
+	"github.com/aspenseam/aspenseam/machine"
 	"go.uber.org/zap"
 )
 
@@ -43,18 +43,20 @@
 			continue
 		}
 		running := map[cell.WorkerName]bool{}
-		pools := map[cell.MachineID]job.PoolID{}
+		machines := map[cell.MachineID]machine.Machine{}
 		for _, mc := range list {
-			running[mc.Worker], pools[mc.ID] = true, mc.Pool
+			running[mc.Worker], machines[mc.ID] = true, mc
 		}
 		ow.post(func(cr *cell.Core, at time.Time) {
 			for _, id := range unresponsive {
-				pool, known := pools[cr.MachineOf(id)]
+				mc, known := machines[cr.MachineOf(id)]
 				switch {
 				case running[id.Name()]:
 					// A later incarnation may run under the same name; its answer will tell.
-				case known && pool != ow.pool():
+				case known && (mc.Pool != ow.pool() || mc.State == machine.Moving):
 					cr.WorkerMoved(at, id)
+				case mc.State == machine.Maintenance:
+					cr.WorkerEndedByOrder(at, id)
 				default:
 					cr.WorkerEnded(at, id)
 				}
--- a/fleet/machinecontroller.go
+++ b/fleet/machinecontroller.go
@@ -145,13 +145,46 @@
 		ct.mu.Lock()
 		orders := ct.waveRunner.Plan(now)
 		ct.mu.Unlock()
-		ct.announce(ctx, maintenanceMachines(orders))
-		for _, od := range orders {
-			ct.execute(ctx, od)
+		ct.executeAll(ctx, orders)
+	}
+}
+
+// executeAll carries out the orders of one plan. Orders that end workers are made known first.
+func (ct *machineController) executeAll(ctx context.Context, orders []machine.Order) {
+	ct.noteOrders(orders)
+	ct.announce(ctx, maintenanceMachines(orders))
+	for _, od := range orders {
+		ct.execute(ctx, od)
+	}
+}
+
+// noteOrders has the rows of drained machines say that orders follow which end their workers, so that the owners of the workers do not take that for
+// crashes. They are written together with the announcement of the machines.
+func (ct *machineController) noteOrders(orders []machine.Order) {
+	for _, od := range orders {
+		sm, ok := od.(machine.StartMaintenance)
+		if !ok {
+			continue
+		}
+		ct.mu.Lock()
+		dr, drained := ct.waveRunner.DrainOf(sm.Machine)
+		ct.mu.Unlock()
+		if drained {
+			ct.putRow(drainPrefix+string(dr.Machine), drainRow{Machine: dr.Machine, Worker: dr.Worker, Pool: dr.Pool, Wave: dr.Wave, Orders: ct.nextOrder(dr)})
 		}
 	}
 }
 
+// nextOrder returns the number of the next order for a drained machine.
+func (ct *machineController) nextOrder(dr machine.Drain) int {
+	ct.fl.members.mu.RLock()
+	defer ct.fl.members.mu.RUnlock()
+	if row := ct.fl.members.drains[dr.Machine]; row.Worker == dr.Worker {
+		return row.Orders + 1
+	}
+	return 1
+}
+
 // maintenanceMachines returns the machines that the orders start maintenance on.
 func maintenanceMachines(orders []machine.Order) []cell.MachineID {
 	var ids []cell.MachineID
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -97,12 +97,14 @@
 	ownerChangedAt map[string]time.Time
 	claims         map[string][]cell.Claim
 	drains         map[cell.MachineID]drainRow
+	// orders holds when this instance learned of recent orders that end workers.
+	orders map[cell.WorkerName]time.Time
 	// vacantSince is since when a cell has had no live owner.
 	vacantSince map[string]time.Time
 }
 
 func newMembers(now func() time.Time, log *event.Logger) *members {
-	return &members{now: now, log: log, nodes: map[string]node{}, versions: map[string]int64{}, nodeSeenAt: map[string]time.Time{}, owners: map[string]ownerRow{}, ownerChangedAt: map[string]time.Time{}, claims: map[string][]cell.Claim{}, drains: map[cell.MachineID]drainRow{}, vacantSince: map[string]time.Time{}}
+	return &members{now: now, log: log, nodes: map[string]node{}, versions: map[string]int64{}, nodeSeenAt: map[string]time.Time{}, owners: map[string]ownerRow{}, ownerChangedAt: map[string]time.Time{}, claims: map[string][]cell.Claim{}, drains: map[cell.MachineID]drainRow{}, orders: map[cell.WorkerName]time.Time{}, vacantSince: map[string]time.Time{}}
 }
 
 // applyControlRows applies changes of the control table. Every answer of the store confirms the ownership of the cells owned
--- a/fleet/serialstore_test.go
+++ b/fleet/serialstore_test.go
@@ -316,6 +316,14 @@
 
 // startLeaseHolder starts the renewal of the machine lease over a store.
 func startLeaseHolder(ctx context.Context, t *testing.T, store *serialStore) *machineController {
+	t.Helper()
+	ct := newLeaseHolder(ctx, t, store)
+	go ct.renewLoop(ctx)
+	return ct
+}
+
+// newLeaseHolder returns a holder of the machine lease over a store that renews it only when told to.
+func newLeaseHolder(ctx context.Context, t *testing.T, store *serialStore) *machineController {
 	t.Helper()
 	fl := New(Options{Name: "one", Store: store, Machines: noMachines{}, Format: testFormat{}})
 	fl.background = ctx
@@ -327,7 +335,6 @@
 	ct.waveRunner, ct.cancel, ct.tasks = machine.NewWaveRunner(time.Now(), machineCooldown), func() {}, &sync.WaitGroup{}
 	ct.row = ownerRow{Holder: "one", Incarnation: fl.opts.Incarnation, version: version}
 	ct.lease = machineLease{version: version, ordered: map[cell.MachineID]*machineOrders{}}
-	go ct.renewLoop(ctx)
 	return ct
 }
 
--- a/machine/wave.go
+++ b/machine/wave.go
@@ -148,6 +148,15 @@
 	return wr.drains[id] != nil || wr.maintenanceOrdered(id)
 }
 
+// DrainOf returns the request to empty the worker of a machine. It reports false if there is none.
+func (wr *WaveRunner) DrainOf(id cell.MachineID) (Drain, bool) {
+	dr := wr.drains[id]
+	if dr == nil {
+		return Drain{}, false
+	}
+	return *dr, true
+}
+
 // maintenanceOrdered reports whether a wave in progress has ordered the maintenance of a machine.
 func (wr *WaveRunner) maintenanceOrdered(id cell.MachineID) bool {
 	for _, wv := range wr.waves {
--- a/serve.go
+++ b/serve.go
@@ -186,7 +186,7 @@
 		Name: st.Name, Hall: st.Hall, Halls: st.Halls, Address: st.PeerAddress, Seeds: st.Seeds, Power: st.CPUShare,
 		Store: platform.NewStore(st.StoreAddress, platform.WithMeter(bytes)), SinglePartTx: st.SinglePartTx, MaxRowBytes: st.MaxRowBytes, Workers: platform.NewWorkers(platform.WithMeter(bytes)), Machines: platform.NewMachines(st.MachinesAddress), MachineOrderRate: st.MachineOrderRate, Format: platform.Format{},
 		Cell: cell.Options{
-			LeaseDuration: min(cs.Lease, st.MaxLease), RenewalWindow: cs.RenewalWindow, RegistrationMaxAge: st.RegistrationMaxAge, PollInterval: cs.PollInterval, MaxStopTime: st.MaxStopTime, EarlyStart: st.EarlyStart, RemoteFactor: st.RemoteFactor,
+			LeaseDuration: min(cs.Lease, st.MaxLease), RenewalWindow: cs.RenewalWindow, RegistrationMaxAge: st.RegistrationMaxAge, PollInterval: cs.PollInterval, MaxStopTime: st.MaxStopTime, DrainTime: st.DrainTime, EarlyStart: st.EarlyStart, RemoteFactor: st.RemoteFactor,
 			Retention: st.Retention + cell.DefaultRetention/5,
 		},
 		Sizes: sizes, Functions: fleet.Functions{Admission: cs.Admission, Forecast: cs.Forecast, PackLateJobs: cs.PackLateJobs, LullMaintenance: cs.LullMaintenance}, Log: lg, Registry: registry, Traffic: bytes,
