A cancellation takes the place of a home row that is not there

Cause: Cancel took an absent home row for a job that does not exist. The store may do an unanswered transaction seconds later if its condition still holds, and the condition is just that the home row is not there.

Change: the cancellation is written in the place of the home row, conditionally; 410 follows once it is stored. It holds for the jobs that the caller's organisation may cancel. A job handed in later is accepted as cancelled, the others of its transaction are not lost.

Why it holds: each accepting transaction requires the place to be empty or at a version it has read; the stored cancellation changes that, whenever the transaction is done.

--- a/cell/plannedend.go
+++ b/cell/plannedend.go
@@ -29,13 +29,15 @@
 // NoteOrders records when this instance learned of orders for machines that are about to be sent and end the workers there. An incarnation that started
 // later is not concerned.
 func (cr *Core) NoteOrders(orders map[WorkerName]time.Time) {
-	for name, at := range orders {
-		for _, wk := range cr.incarnations(name) {
-			if id := wk.info.ID; id.reusesName() && at.Before(time.UnixMilli(id.StartMillis()).Add(-cr.clockOffset)) {
-				continue
-			}
-			wk.planned.orderedAt = latest(wk.planned.orderedAt, at)
+	if len(orders) == 0 {
+		return
+	}
+	for _, wk := range cr.sortedWorkers {
+		at, ordered := orders[wk.name]
+		if id := wk.info.ID; !ordered || id.reusesName() && at.Before(time.UnixMilli(id.StartMillis()).Add(-cr.clockOffset)) {
+			continue
 		}
+		wk.planned.orderedAt = latest(wk.planned.orderedAt, at)
 	}
 }
 
--- a/fleet/fakes_test.go
+++ b/fleet/fakes_test.go
@@ -153,6 +153,9 @@
 	singlePartTx bool
 	// dropAnswer selects the transactions that are carried out but not answered.
 	dropAnswer func(Tx) bool
+	// postpone selects the transactions that are not answered and are carried out only when postponed ones are.
+	postpone  func(Tx) bool
+	postponed []Tx
 	// feeds counts the feed calls for each table, reads the reads of each table's rows.
 	feeds, reads map[string]int
 }
@@ -198,9 +201,16 @@
 	}
 	fs.mu.Lock()
 	refused := fs.singlePartTx && tx.parts() > 1
+	late := fs.postpone != nil && fs.postpone(tx)
+	if late {
+		fs.postponed = append(fs.postponed, tx)
+	}
 	fs.mu.Unlock()
-	if refused {
+	switch {
+	case refused:
 		return 0, ErrRefused
+	case late:
+		return 0, ErrNoAnswer
 	}
 	version, err := fs.mem.commit(tx)
 	fs.mu.Lock()
@@ -212,6 +222,20 @@
 	return version, err
 }
 
+// commitPostponed carries out the postponed transactions whose conditions still hold, and returns how many there were and how many had an effect.
+func (fs *faultyStore) commitPostponed() (postponed, done int) {
+	fs.mu.Lock()
+	list := fs.postponed
+	fs.postponed, fs.postpone = nil, nil
+	fs.mu.Unlock()
+	for _, tx := range list {
+		if _, err := fs.mem.commit(tx); err == nil {
+			done++
+		}
+	}
+	return len(list), done
+}
+
 // parts returns the number of parts that hold the rows of a transaction.
 func (tx Tx) parts() int {
 	parts := map[string]bool{}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/aspenseam/aspenseam/table"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 )
 
 // Tables of the store that belong to the fleet.
@@ -40,6 +41,8 @@
 	tableUsed = "used"
 	// tableCooldown holds the machines that the next leader of the machine controller must not send orders for yet.
 	tableCooldown = "cooldown"
+	// tableWithdrawal holds a row for each job that was cancelled before the store had it, so that its row among the home rows is found and deleted.
+	tableWithdrawal = "withdrawal"
 	// tableJob is the prefix of the tables of open jobs. Each cell uses one table, and several cells may share it.
 	tableJob = "job"
 )
@@ -140,6 +143,8 @@
 	evacuations evacuationSet
 	// relayIDs numbers the orders that are relayed to peers.
 	relayIDs atomic.Uint64
+	// withdrawals limits the cancellations of jobs that the store does not have.
+	withdrawals *rate.Limiter
 	// background is the context of Run, for work that outlives a call.
 	background context.Context
 	metrics    fleetMetrics
@@ -173,7 +178,7 @@
 		options.Incarnation = table.NewID()
 	}
 	options.Workers = &adaptiveWorkers{Workers: options.Workers}
-	fl := &Fleet{background: context.Background(), opts: options, owners: map[string]*owner{}, claiming: map[string]bool{}, workerCache: newWorkerCache(), payloads: newPayloadCache(), readers: pond.NewPool(parallelReads)}
+	fl := &Fleet{background: context.Background(), opts: options, owners: map[string]*owner{}, claiming: map[string]bool{}, workerCache: newWorkerCache(), payloads: newPayloadCache(), readers: pond.NewPool(parallelReads), withdrawals: newWithdrawalLimiter()}
 	fl.metrics = newFleetMetrics(options.Registry)
 	fl.peers = newPeers(fl)
 	fl.admission = newAdmission(fl)
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -75,6 +75,8 @@
 	// inDoubt is set once an attempt was not answered. From then on only the store can tell whether the job was accepted.
 	inDoubt bool
 	started time.Time
+	// home is what the store was last seen to have in the place of the home row.
+	home homeEntry
 	// attempts counts the transactions that included the job.
 	attempts atomic.Int32
 	// txState tells whether a transaction may store the job.
@@ -375,21 +377,36 @@
 	return list
 }
 
-// commitGroup writes the rows of some jobs, on the condition that no job with the same id exists.
+// withdrawn reports whether the job was cancelled before the store had it.
+func (sb *submission) withdrawn() bool { return sb.home.withdrawn.covers(sb.spec.Organisation) }
+
+// addTo adds the rows of the job to a transaction, on the condition that no job with the same id exists and none has been cancelled since. Of a job that
+// was cancelled before, only its cancellation is kept.
+func (sb *submission) addTo(tx *Tx) error {
+	id, part := string(sb.spec.ID), partName(homePart(sb.spec.ID))
+	tx.Expect = append(tx.Expect, Expect{homePlace(sb.spec.ID), sb.home.version})
+	if sb.withdrawn() {
+		wd := withdrawal{By: sb.home.withdrawn.By, Submitted: true, Owner: sb.spec.Organisation}
+		return wd.writeTo(tx, sb.spec.ID)
+	}
+	raw, err := json.Marshal(sb.homeRow())
+	if err != nil {
+		return err
+	}
+	tx.Write = append(tx.Write, Row{Table: tableHome, Part: part, Key: id, Value: raw}, Row{Table: jobTable(cellName(sb.spec.Pool)), Part: part, Key: id, Value: sb.raw})
+	if sb.spec.Acceptor != "" {
+		tx.Write = append(tx.Write, Row{Table: tablePayload, Part: part, Key: id, Value: []byte(sb.spec.Payload)})
+	}
+	return nil
+}
+
+// commitGroup writes the rows of some jobs.
 func (in *intake) commitGroup(ctx context.Context, group []*submission) error {
 	var tx Tx
 	for _, sb := range group {
-		id := string(sb.spec.ID)
-		name := cellName(sb.spec.Pool)
-		raw, err := json.Marshal(sb.homeRow())
-		if err != nil {
+		if sb.addTo(&tx) != nil {
 			return ErrRefused
 		}
-		tx.Expect = append(tx.Expect, Expect{Place{tableHome, in.part, id}, 0})
-		tx.Write = append(tx.Write, Row{Table: tableHome, Part: in.part, Key: id, Value: raw}, Row{Table: jobTable(name), Part: in.part, Key: id, Value: sb.raw})
-		if sb.spec.Acceptor != "" {
-			tx.Write = append(tx.Write, Row{Table: tablePayload, Part: in.part, Key: id, Value: []byte(sb.spec.Payload)})
-		}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, in.fl.store.commitTimeout())
 	defer cancel()
@@ -401,6 +418,11 @@
 func (in *intake) answerAccepted(group []*submission) {
 	byCell := map[string][][]byte{}
 	for _, sb := range group {
+		if sb.withdrawn() {
+			in.fl.logJob(event.JobWithdrawn, sb.spec.ID, append(sb.logFields(in.fl.opts.Now()), zap.String("outcome", "submitted since"))...)
+			sb.result <- Accepted
+			continue
+		}
 		name := cellName(sb.spec.Pool)
 		in.fl.homes.add(sb.spec.ID, sb.homeRow())
 		in.fl.payloads.put(sb.spec.ID, sb.spec.Payload)
@@ -414,30 +436,47 @@
 }
 
 // answerKnown answers the callers of jobs that an earlier attempt accepted, here or through another entry instance, and returns
-// the remaining jobs. The job stays as that attempt wrote it, and the owner is not notified: the new spec may name another
+// the remaining jobs, some of which may have been cancelled. The job stays as that attempt wrote it, and the owner is not notified: the new spec may name another
 // cell, and its epoch would make an owner that has just taken over assume that no earlier owner can have started the job.
 func (in *intake) answerKnown(group []*submission, cf *Conflict) []*submission {
-	homes := map[string]homeRow{}
-	for _, rw := range cf.Rows {
-		var hr homeRow
-		if rw.Table == tableHome && !rw.Deleted && rw.Version != 0 && json.Unmarshal(rw.Value, &hr) == nil {
-			homes[rw.Key] = hr
-		}
-	}
+	homes := in.decodeHomes(cf)
 	var remaining []*submission
 	for _, sb := range group {
-		hr, exists := homes[string(sb.spec.ID)]
-		if !exists {
+		if he, known := homes[string(sb.spec.ID)]; known {
+			sb.home = he
+		}
+		switch hr := sb.home.row; {
+		case hr != nil:
+			in.fl.homes.add(sb.spec.ID, *hr)
+			in.fl.logJob(event.JobKnown, sb.spec.ID)
+			sb.result <- hr.resubmitResult(sb.spec.Organisation)
+		case sb.withdrawn() && sb.home.withdrawn.Submitted && job.MayAccess(sb.spec.Organisation, sb.home.withdrawn.Owner):
+			in.fl.logJob(event.JobKnown, sb.spec.ID)
+			sb.result <- Accepted
+		default:
 			remaining = append(remaining, sb)
-			continue
 		}
-		in.fl.homes.add(sb.spec.ID, hr)
-		in.fl.logJob(event.JobKnown, sb.spec.ID)
-		sb.result <- hr.resubmitResult(sb.spec.Organisation)
 	}
 	return remaining
 }
 
+// decodeHomes decodes the rows of a conflict by job.
+func (in *intake) decodeHomes(cf *Conflict) map[string]homeEntry {
+	homes := map[string]homeEntry{}
+	for _, rw := range cf.Rows {
+		if rw.Table != tableHome {
+			continue
+		}
+		he, err := decodeHome(rw)
+		if err != nil {
+			in.fl.opts.Log.Emit(event.JobRowRejected, zap.String("job", rw.Key), zap.Error(err))
+			continue
+		}
+		homes[rw.Key] = he
+	}
+	return homes
+}
+
 // offerJobs notifies the owner of a cell of new jobs. The owner's feed also delivers them, only later.
 func (fl *Fleet) offerJobs(name string, specs [][]byte) {
 	if ow := fl.ownerOf(name); ow != nil {
--- a/fleet/jobstate.go
+++ b/fleet/jobstate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -45,30 +44,38 @@
 	return hr, ok
 }
 
-// homeOf returns a job's home row from the cache or the store, or ErrJobNotFound if the store has no such job.
-func (fl *Fleet) homeOf(ctx context.Context, id job.ID) (homeRow, error) {
+// homeToCancel returns the home row of a job to be cancelled, from the cache or the store. If the store has no such job, the error is ErrJobNotFound
+// once the cancellation is stored in its place.
+func (fl *Fleet) homeToCancel(ctx context.Context, caller job.OrganisationID, id job.ID) (homeRow, error) {
 	if hr, ok := fl.homes.get(id); ok {
 		return hr, nil
 	}
-	return fl.storedHome(ctx, id)
-}
-
-// storedHome reads a job's home row from the store.
-func (fl *Fleet) storedHome(ctx context.Context, id job.ID) (homeRow, error) {
-	rw, ok, err := fl.readRow(ctx, Place{tableHome, partName(homePart(id)), string(id)})
+	he, err := fl.storedHome(ctx, id)
 	if err != nil {
 		return homeRow{}, err
 	}
-	if !ok {
-		return homeRow{}, ErrJobNotFound
+	hr, err := fl.withdraw(ctx, caller, id, he)
+	if err != nil {
+		return homeRow{}, err
+	}
+	return *hr, nil
+}
+
+// storedHome reads what the store has in the place of a job's home row.
+func (fl *Fleet) storedHome(ctx context.Context, id job.ID) (homeEntry, error) {
+	rw, ok, err := fl.readRow(ctx, homePlace(id))
+	if err != nil || !ok {
+		return homeEntry{}, err
 	}
-	var hr homeRow
-	if err := json.Unmarshal(rw.Value, &hr); err != nil {
+	he, err := decodeHome(rw)
+	if err != nil {
 		fl.opts.Log.Emit(event.JobRowRejected, zap.String("job", string(id)), zap.Error(err))
-		return homeRow{}, ErrUnavailable
+		return homeEntry{}, ErrUnavailable
+	}
+	if he.row != nil {
+		fl.homes.add(id, *he.row)
 	}
-	fl.homes.add(id, hr)
-	return hr, nil
+	return he, nil
 }
 
 // readRow reads one row and retries until the store answers or the context ends.
@@ -101,10 +108,16 @@
 		return js.stateFor(caller)
 	}
 	// The owner forgets a job after its retention period, so only the store can tell whether the job exists.
-	found, err := fl.storedHome(ctx, id)
-	if err != nil {
+	he, err := fl.storedHome(ctx, id)
+	switch {
+	case err != nil:
 		return "", err
+	case he.withdrawn != nil:
+		return he.withdrawn.state(caller)
+	case he.row == nil:
+		return "", ErrJobNotFound
 	}
+	found := he.row
 	if !job.MayAccess(caller, found.Organisation) {
 		return "", job.ErrOtherOrganisation
 	}
@@ -179,9 +192,12 @@
 }
 
 // Cancel stores the cancellation of a job and has the owner of its cell stop its tasks. It returns job.ErrOtherOrganisation if the
-// caller's organisation may not cancel the job.
+// caller's organisation may not cancel the job, and ErrJobNotFound if there is no such job and none will be accepted under this id.
 func (fl *Fleet) Cancel(ctx context.Context, caller job.OrganisationID, id job.ID) error {
-	hr, err := fl.homeOf(ctx, id)
+	hr, err := fl.homeToCancel(ctx, caller, id)
+	if errors.Is(err, errAlreadyCancelled) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/fleet/machinecontroller.go
+++ b/fleet/machinecontroller.go
@@ -123,6 +123,7 @@
 	tasks.Go(func() { ct.renewLoop(ctx) })
 	tasks.Go(func() { ct.run(ctx) })
 	tasks.Go(func() { ct.sizePools(ctx) })
+	tasks.Go(func() { fl.sweepWithdrawals(ctx) })
 }
 
 // run plans and executes maintenance orders until the context ends.
