--- a/cell/plannedend_test.go
+++ b/cell/plannedend_test.go
@@ -161,3 +161,33 @@
 		t.Errorf("the end of the next incarnation is taken for planned: %s", why)
 	}
 }
+
+// Guards against a successor that charges the planned end of a worker to the tasks which the former owner had left there, since it has not seen what that
+// owner saw.
+func TestNextOwnerKnowsThatAnEndWasPlanned(t *testing.T) {
+	for _, ordered := range []bool{false, true} {
+		t.Run(fmt.Sprintf("ordered=%t", ordered), func(t *testing.T) {
+			sb := newSilenceBed(t, 1)
+			sb.addJob("j", testEpoch, taskStep(1))
+			st := sb.step()[0]
+			if ordered {
+				sb.core.NoteOrders(map[WorkerName]time.Time{st.Worker.Name(): sb.now})
+			}
+			sb.step()
+			if got := sb.stored[0].Leaving; got != ordered {
+				t.Errorf("the stored list says that the worker leaves: %t", got)
+			}
+			next := New(testPool, testEpoch+1, sb.core.opts)
+			next.TakeOver(sb.now, sb.now, sb.stored, false)
+			next.Add(sb.now, StoredJob{Spec: sb.core.jobs["j"].spec, Progress: sb.core.jobs["j"].progress(), Version: 1})
+			js := next.jobs["j"]
+			js.hasUnresolved = true
+			lo := &js.openRun(0).steps[0].tasks[0].losses
+			lo.markUnresolved(st.Worker, true)
+			next.WorkerEnded(sb.now, st.Worker)
+			if charged := len(lo.history) > 0; charged == ordered {
+				t.Errorf("charged are %v", lo.history)
+			}
+		})
+	}
+}
