--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -436,8 +436,9 @@
 }
 
 // answerKnown answers the callers of jobs that an earlier attempt accepted, here or through another entry instance, and returns
-// the remaining jobs, some of which may have been cancelled. The job stays as that attempt wrote it, and the owner is not notified: the new spec may name another
-// cell, and its epoch would make an owner that has just taken over assume that no earlier owner can have started the job.
+// the remaining jobs, some of which may have been cancelled. The job stays as that attempt wrote it, and the owner is not
+// notified: the new spec may name another cell, and its epoch would make an owner that has just taken over assume that no earlier
+// owner can have started the job.
 func (in *intake) answerKnown(group []*submission, cf *Conflict) []*submission {
 	homes := in.decodeHomes(cf)
 	var remaining []*submission
