A crash soon after a registration is gone is not taken for a planned end

Cause: the removal was dated to the last answer of the store that still had the registration, up to a second before, and the end to when the break was noticed.

Change: it is dated half a second (deliveryMargin) before the owner learns of it.

--- a/cell/model_crash_test.go
+++ b/cell/model_crash_test.go
@@ -36,6 +36,8 @@
 	givenUpWithoutFault, givenUp int
 	// rooms holds the former rooms of workers, newest last.
 	rooms map[WorkerID][]pastRoom
+	// planned means that the worker that is ending does so as planned.
+	planned bool
 }
 
 // pastRoom is a room that a worker had until a time.
@@ -73,6 +75,9 @@
 
 // recordLosses counts the end of a worker as a loss of each task that runs there.
 func (md *model) recordLosses(wk *modelWorker) {
+	if md.crashes.planned {
+		return
+	}
 	for tk, rn := range wk.runs {
 		md.crashes.lossesUnder[tk]++
 		if rn.crashesWorker && !md.now.Before(rn.endsAt) {
--- a/cell/model_test.go
+++ b/cell/model_test.go
@@ -141,6 +141,8 @@
 	evacuatedSince map[job.HallID]time.Time
 	// maintenance is nil unless workers are cordoned and restarted.
 	maintenance *modelMaintenance
+	// plannedEnds is nil unless workers end as planned.
+	plannedEnds *modelPlannedEnds
 	owners      []*modelOwner
 	version     int64
 	// The fields with the prefix row are the content of the cell's row.
@@ -347,11 +349,12 @@
 		{ID: modelUrgent, Pool: modelPool, MaxAttempts: modelAttempts, Stretch: 1.5, Slack: 5 * time.Second},
 	})
 	for _, wk := range md.allWorkers() {
-		if wk.alive {
+		if md.hasRegistration(wk) {
 			ow.core.Register(md.now, wk.info)
 		}
 	}
 	ow.core.WorkersRecorded(md.rowWorkers)
+	md.noteOrders(ow)
 	md.beginEvacuationPolls(ow)
 	if md.maintenance != nil {
 		md.schedule(md.millis(1, int(cordonsReadWithin.Milliseconds())), func() { md.readCordons(ow) })
--- a/cell/plannedend.go
+++ b/cell/plannedend.go
@@ -18,7 +18,7 @@
 	orderedAt time.Time
 	// carriedOut means that the machine was seen to carry out such an order when the worker had ended.
 	carriedOut bool
-	// removedAt is the earliest time at which the registration can have been removed that is gone now. outlivedAt is when the worker is last known to have
+	// removedAt is the earliest time at which the registration is taken to have been removed that is gone now. outlivedAt is when the worker is last known to have
 	// run although that was known, and no outage of the store explains it.
 	removedAt, outlivedAt time.Time
 	// inherited means that an earlier owner knew that the end was planned. known means that this owner has found it to be, and the worker has, or may
@@ -69,9 +69,9 @@
 	}
 }
 
-// unregistered returns what is known of a worker whose registration is gone, and was there at a time.
-func (pe plannedEnd) unregistered(seenAt time.Time) plannedEnd {
-	pe.removedAt = seenAt
+// unregistered returns what is known of a worker whose registration was removed at a time.
+func (pe plannedEnd) unregistered(removedAt time.Time) plannedEnd {
+	pe.removedAt = removedAt
 	return pe
 }
 
--- a/cell/registry.go
+++ b/cell/registry.go
@@ -42,7 +42,7 @@
 func (cr *Core) Unregister(now time.Time, id WorkerID) {
 	if wk, ok := cr.workers[id]; ok && wk.registered {
 		wk.registered, wk.unregisteredAt = false, now
-		wk.planned = wk.planned.unregistered(earliest(cr.registrationsAt, now))
+		wk.planned = wk.planned.unregistered(now.Add(-deliveryMargin))
 	}
 }
 
