--- a/cell/model_planned_test.go
+++ b/cell/model_planned_test.go
@@ -117,8 +117,8 @@
 	return wk.alive && (md.plannedEnds == nil || !md.plannedEnds.leaving[wk.info.ID])
 }
 
-// TestModelOfPlannedEndsOfSeedsThatFailed replays worlds in which a crash was taken for a planned end, since the registration of its worker was assumed to
-// be gone for as long as the owner had not heard that it was there.
+// TestModelOfPlannedEndsOfSeedsThatFailed replays worlds that broke while the registration of a worker was assumed to be gone for as long as the owner had
+// not heard that it was there. In world 39 a crash was therefore taken for a planned end; the two others have not been traced.
 func TestModelOfPlannedEndsOfSeedsThatFailed(t *testing.T) {
 	for _, seed := range []int64{39, 48, 138} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playModel(t, seed, newPlannedEndsModel(seed)) })
@@ -128,8 +128,8 @@
 // plannedEndsLeft are the worlds that TestModelOfPlannedEndsWhatIsLeft replays.
 var plannedEndsLeft = []int64{56}
 
-// TestModelOfPlannedEndsWhatIsLeft replays worlds in which a task that crashes its workers is started once too often since the first of its losses is in
-// no row. No crash is taken for a planned end in them.
+// TestModelOfPlannedEndsWhatIsLeft replays worlds in which a task that crashes its workers is started once too often. The first of its losses is not known
+// to later owners; what became of the second has not been traced.
 func TestModelOfPlannedEndsWhatIsLeft(t *testing.T) {
 	for _, seed := range plannedEndsLeft {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playModel(t, seed, newPlannedEndsModel(seed)) })
