--- a/cell/model_planned_test.go
+++ b/cell/model_planned_test.go
@@ -128,8 +128,8 @@
 // plannedEndsLeft are the worlds that TestModelOfPlannedEndsWhatIsLeft replays.
 var plannedEndsLeft = []int64{56}
 
-// TestModelOfPlannedEndsWhatIsLeft replays worlds in which a task that crashes its workers is started once too often. The first of its losses is not known
-// to later owners; what became of the second has not been traced.
+// TestModelOfPlannedEndsWhatIsLeft replays worlds in which a task that crashes its workers is started once too often. Two of the
+// crashes pass for planned ends at later owners, since their workers were stored as leaving before the drain time was over.
 func TestModelOfPlannedEndsWhatIsLeft(t *testing.T) {
 	for _, seed := range plannedEndsLeft {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playModel(t, seed, newPlannedEndsModel(seed)) })
