Times of planned ends in the list of workers are stored once

Cause: the time of day is read anew for each plan, so that the times that stores with a worker changed by some milliseconds from plan to plan, and the list was written again each time. Found on rereading, before a landing.

Change: a stored time stays while it is within half a second (deliveryMargin) of what would be stored.

--- a/cell/plannedend.go
+++ b/cell/plannedend.go
@@ -112,13 +112,11 @@
 	}
 }
 
-// fromTimeOfDay and toTimeOfDay convert between milliseconds of the time of day and the owner's clock.
+// fromTimeOfDay returns the time on the owner's clock at milliseconds of the time of day.
 func (cr *Core) fromTimeOfDay(millis int64) time.Time {
 	return time.UnixMilli(millis).Add(-cr.clockOffset)
 }
 
-func (cr *Core) toTimeOfDay(at time.Time) int64 { return at.Add(cr.clockOffset).UnixMilli() }
-
 // outlives reports whether a worker that runs does so without its registration, and no outage of the store explains it.
 func (cr *Core) outlives(now time.Time, wk *worker) bool {
 	return cr.leaving(now, wk) || wk.planned.removalInherited && !wk.registered
@@ -199,14 +197,22 @@
 	}
 	var described PlannedEnd
 	if wk.failedPolls == 0 && cr.outlives(now, wk) {
-		described.Unregistered = cr.toTimeOfDay(pe.removedAt)
+		described.Unregistered = cr.storedTimeOfDay(pe.removedAt, pe.stored.Unregistered)
 	}
 	if pe.endsWithOrder(failedAt) {
-		described.Ordered = cr.toTimeOfDay(pe.orderedAt)
+		described.Ordered = cr.storedTimeOfDay(pe.orderedAt, pe.stored.Ordered)
 	}
 	return described
 }
 
+// storedTimeOfDay returns a time as it is to be stored. The time of day is read anew for each plan, and what is stored is not written again for that.
+func (cr *Core) storedTimeOfDay(at time.Time, stored int64) int64 {
+	if stored != 0 && cr.fromTimeOfDay(stored).Sub(at).Abs() < deliveryMargin {
+		return stored
+	}
+	return at.Add(cr.clockOffset).UnixMilli()
+}
+
 // releasedPlannedEnd returns what the next owner has to know of a planned end of a worker when this one releases the cell. A worker whose connections have not
 // broken by then still runs.
 func (cr *Core) releasedPlannedEnd(now time.Time, wk *worker) PlannedEnd {
--- a/cell/plannedend_test.go
+++ b/cell/plannedend_test.go
@@ -294,3 +294,34 @@
 		})
 	}
 }
+
+// Guards against a write of the list of workers in use for each plan while a worker is about to end: the times in it are of the time of day, which is read
+// anew for each plan.
+func TestTimesOfPlannedEndsAreStoredOnce(t *testing.T) {
+	bd := newTestBed(t, 1)
+	bd.advance(reregisterGrace)
+	bd.answerDuePolls()
+	st := bd.runTask("j")
+	writes := 0
+	for at := range 20 {
+		bd.advance(50 * time.Millisecond)
+		if at == 5 {
+			bd.core.Unregister(bd.now, st.Worker)
+			bd.core.NoteOrders(map[WorkerName]time.Time{st.Worker.Name(): bd.now})
+		}
+		bd.core.SetTimeOfDay(bd.now, bd.now.Add(time.Hour+time.Duration(at%3)*7*time.Millisecond))
+		for _, od := range bd.plan() {
+			switch order := od.(type) {
+			case RecordWorkers:
+				writes++
+				bd.core.WorkersRecorded(order.Workers)
+				bd.core.RecordWorkersEnded()
+			case Poll:
+				bd.answerPoll(order, []Running{{Task: st.Task, Attempt: st.Attempt}}, nil)
+			}
+		}
+	}
+	if writes != 1 {
+		t.Errorf("the list is written %d times for one worker that is about to end, want once", writes)
+	}
+}
